Start the workspace with its kernel, model and design page

Cause: the repository was empty, and several people are to work on it at once. Change: a Maven workspace of thirteen modules with pinned versions, Error Prone, NullAway, Spotless and Checkstyle; the kernel (clock, scheduler, plug-ins, strict JSON reading); the model of tables, versions and endpoint records with canonical bytes; the interfaces of platform, transport, membership and distribution; docs/design.md and the glossary. Conclusion: modules can now be written in parallel against these interfaces.

--- /dev/null
+++ b/ctl/src/main/java/dev/zinniaring/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command: zinniarctl. */
+@NullMarked
+package dev.zinniaring.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/package-info.java
@@ -0,0 +1,5 @@
+/** Bringing versions and endpoints to every node. */
+@NullMarked
+package dev.zinniaring.distribution;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/main/java/dev/zinniaring/kernel/JsonFields.java
@@ -0,0 +1,241 @@
+package dev.zinniaring.kernel;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the fields of a JSON object strictly and collects every problem instead of stopping at the
+ * first. Unknown fields, wrong types and values out of range are problems.
+ *
+ * <pre>{@code
+ * List<Problem> problems = new ArrayList<>();
+ * JsonFields fields = JsonFields.parse(text, "", problems);
+ * String mesh = fields.text("mesh");
+ * int timeoutMillis = fields.integer("timeoutMillis", 1, 60_000, 2_000);
+ * fields.finish();
+ * if (!problems.isEmpty()) throw new SettingsException(problems);
+ * }</pre>
+ *
+ * <p>A required field that is missing or wrong yields a placeholder, which the caller discards with
+ * the rest when problems were found.
+ */
+public final class JsonFields {
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private final JsonNode node;
+    private final String path;
+    private final List<Problem> problems;
+    private final Set<String> known = new HashSet<>();
+
+    private JsonFields(JsonNode node, String path, List<Problem> problems) {
+        this.node = node;
+        this.path = path;
+        this.problems = problems;
+    }
+
+    /**
+     * Parses a JSON object.
+     *
+     * @param path prefix of the paths in problems, for instance a file name; may be empty
+     * @param problems receives what is wrong
+     */
+    public static JsonFields parse(String text, String path, List<Problem> problems) {
+        try {
+            JsonNode parsed = MAPPER.readTree(text);
+            return of(parsed, path, problems);
+        } catch (JsonProcessingException e) {
+            problems.add(new Problem(path, e.getOriginalMessage(), "one well-formed JSON object"));
+            return new JsonFields(JsonNodeFactory.instance.objectNode(), path, problems);
+        }
+    }
+
+    private static JsonFields of(JsonNode node, String path, List<Problem> problems) {
+        if (node.isObject()) {
+            return new JsonFields(node, path, problems);
+        }
+        problems.add(new Problem(path, node.toString(), "a JSON object"));
+        return new JsonFields(JsonNodeFactory.instance.objectNode(), path, problems);
+    }
+
+    /** Returns whether the field is present and not null. */
+    public boolean has(String name) {
+        known.add(name);
+        return node.hasNonNull(name);
+    }
+
+    /** Returns a required, non-empty string. */
+    public String text(String name) {
+        JsonNode value = required(name, "a non-empty string");
+        if (value == null) {
+            return "";
+        }
+        if (!value.isTextual() || value.textValue().isBlank()) {
+            report(name, value.toString(), "a non-empty string");
+            return "";
+        }
+        return value.textValue();
+    }
+
+    /** Returns a string, or {@code fallback} if the field is absent. */
+    public String text(String name, String fallback) {
+        return has(name) ? text(name) : fallback;
+    }
+
+    /** Returns one constant of an enum, written in lower case with hyphens. */
+    public <E extends Enum<E>> E choice(String name, Class<E> type, E fallback) {
+        if (!has(name)) {
+            return fallback;
+        }
+        String written = text(name);
+        List<String> accepted = new ArrayList<>();
+        for (E constant : type.getEnumConstants()) {
+            String spelling = constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+            if (spelling.equals(written)) {
+                return constant;
+            }
+            accepted.add(spelling);
+        }
+        report(name, written, "one of " + String.join(", ", accepted));
+        return fallback;
+    }
+
+    /** Returns a boolean, or {@code fallback} if the field is absent. */
+    public boolean flag(String name, boolean fallback) {
+        if (!has(name)) {
+            return fallback;
+        }
+        JsonNode value = node.get(name);
+        if (!value.isBoolean()) {
+            report(name, value.toString(), "true or false");
+        }
+        return value.asBoolean(fallback);
+    }
+
+    /** Returns a required whole number from {@code min} to {@code max}. */
+    public int integer(String name, int min, int max) {
+        String accepted = "a whole number from " + min + " to " + max;
+        JsonNode value = required(name, accepted);
+        if (value == null) {
+            return min;
+        }
+        if (!value.canConvertToInt()
+                || !value.isIntegralNumber()
+                || value.intValue() < min
+                || value.intValue() > max) {
+            report(name, value.toString(), accepted);
+            return min;
+        }
+        return value.intValue();
+    }
+
+    /** Returns a whole number from {@code min} to {@code max}, or {@code fallback} if absent. */
+    public int integer(String name, int min, int max, int fallback) {
+        return has(name) ? integer(name, min, max) : fallback;
+    }
+
+    /** Returns a number from {@code min} to {@code max}, or {@code fallback} if absent. */
+    public double number(String name, double min, double max, double fallback) {
+        if (!has(name)) {
+            return fallback;
+        }
+        JsonNode value = node.get(name);
+        if (!value.isNumber() || value.doubleValue() < min || value.doubleValue() > max) {
+            report(name, value.toString(), "a number from " + min + " to " + max);
+            return fallback;
+        }
+        return value.doubleValue();
+    }
+
+    /** Returns a list of non-empty strings, empty if the field is absent. */
+    public List<String> texts(String name) {
+        List<String> values = new ArrayList<>();
+        if (!has(name)) {
+            return values;
+        }
+        JsonNode list = node.get(name);
+        if (!list.isArray()) {
+            report(name, list.toString(), "a list of strings");
+            return values;
+        }
+        for (JsonNode value : list) {
+            if (value.isTextual() && !value.textValue().isBlank()) {
+                values.add(value.textValue());
+            } else {
+                report(name, value.toString(), "a list of non-empty strings");
+            }
+        }
+        return values;
+    }
+
+    /** Returns a required object; its problems carry this object's path. */
+    public JsonFields object(String name) {
+        JsonNode value = required(name, "a JSON object");
+        return of(
+                value == null ? JsonNodeFactory.instance.objectNode() : value, at(name), problems);
+    }
+
+    /** Returns the objects of a list, empty if the field is absent. */
+    public List<JsonFields> objects(String name) {
+        List<JsonFields> values = new ArrayList<>();
+        if (!has(name)) {
+            return values;
+        }
+        JsonNode list = node.get(name);
+        if (!list.isArray()) {
+            report(name, list.toString(), "a list of JSON objects");
+            return values;
+        }
+        for (int i = 0; i < list.size(); i++) {
+            values.add(of(list.get(i), at(name) + "[" + i + "]", problems));
+        }
+        return values;
+    }
+
+    /** Adds a problem at a field of this object, for checks that span several fields. */
+    public void report(String name, String value, String accepted) {
+        problems.add(new Problem(at(name), value, accepted));
+    }
+
+    /** Reports every field that was not asked for. */
+    public void finish() {
+        for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!known.contains(name)) {
+                report(
+                        name,
+                        "unknown field",
+                        "one of " + String.join(", ", new java.util.TreeSet<>(known)));
+            }
+        }
+    }
+
+    private @Nullable JsonNode required(String name, String accepted) {
+        known.add(name);
+        JsonNode value = node.get(name);
+        if (value == null || value.isNull()) {
+            report(name, "missing", accepted);
+            return null;
+        }
+        return value;
+    }
+
+    private String at(String name) {
+        return path.isEmpty()
+                ? name
+                : path + (path.endsWith("]") || !path.contains(".json") ? "." : "#") + name;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/dev/zinniaring/kernel/NamedThreads.java
@@ -0,0 +1,19 @@
+package dev.zinniaring.kernel;
+
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Makes threads whose names tell their subsystem in a thread dump. */
+public final class NamedThreads {
+    private NamedThreads() {}
+
+    /** Returns a factory of daemon threads named {@code prefix-1}, {@code prefix-2} and so on. */
+    public static ThreadFactory daemon(String prefix) {
+        AtomicInteger next = new AtomicInteger(1);
+        return task -> {
+            Thread thread = new Thread(task, prefix + "-" + next.getAndIncrement());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/dev/zinniaring/kernel/SettingsException.java
@@ -0,0 +1,27 @@
+package dev.zinniaring.kernel;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Settings were refused. Carries every problem that was found, not only the first. */
+public final class SettingsException extends KernelException {
+    private static final long serialVersionUID = 1L;
+
+    @SuppressWarnings("serial") // List.copyOf is serializable
+    private final List<Problem> problems;
+
+    /**
+     * Creates the exception.
+     *
+     * @param problems all problems found, at least one
+     */
+    public SettingsException(List<Problem> problems) {
+        super(problems.stream().map(Problem::toString).collect(Collectors.joining("\n")));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** Returns every problem found. */
+    public List<Problem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/dev/zinniaring/model/TablesChecks.java
@@ -0,0 +1,70 @@
+package dev.zinniaring.model;
+
+import dev.zinniaring.kernel.Problem;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Checks that span several entries of the tables. */
+final class TablesChecks {
+    private static final double SHARE_TOLERANCE = 1e-9;
+
+    private TablesChecks() {}
+
+    static void check(Tables tables, List<Problem> problems) {
+        checkReferences(tables, problems);
+        checkRanks(tables, problems);
+        checkRouteKeys(tables, problems);
+    }
+
+    private static void checkReferences(Tables tables, List<Problem> problems) {
+        for (Route route : tables.routes().values()) {
+            String path = "routes." + route.name();
+            if (!tables.pools().containsKey(route.pool())) {
+                problems.add(
+                        new Problem(path + ".pool", route.pool(), "the name of a declared pool"));
+            }
+            if (!tables.ranks().containsKey(route.rank())) {
+                problems.add(
+                        new Problem(path + ".rank", route.rank(), "the name of a declared rank"));
+            }
+        }
+    }
+
+    private static void checkRanks(Tables tables, List<Problem> problems) {
+        Map<Integer, String> orders = new HashMap<>();
+        double shares = 0;
+        for (Rank rank : tables.ranks().values()) {
+            shares += rank.floorShare();
+            String other = orders.putIfAbsent(rank.order(), rank.name());
+            if (other != null) {
+                problems.add(
+                        new Problem(
+                                "ranks." + rank.name() + ".order",
+                                Integer.toString(rank.order()),
+                                "an order that rank " + other + " does not have"));
+            }
+        }
+        if (shares > 1 + SHARE_TOLERANCE) {
+            problems.add(
+                    new Problem("ranks", "floor shares add up to " + shares, "a sum of at most 1"));
+        }
+    }
+
+    private static void checkRouteKeys(Tables tables, List<Problem> problems) {
+        Map<String, String> keys = new HashMap<>();
+        for (Route route : tables.routes().values()) {
+            String key = route.host() + " " + route.pathPrefix() + " " + route.methods();
+            String other = keys.putIfAbsent(key, route.name());
+            if (other != null) {
+                problems.add(
+                        new Problem(
+                                "routes." + route.name(),
+                                key,
+                                "a host, path prefix and methods that route "
+                                        + other
+                                        + " does not have"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/dev/zinniaring/model/TablesReader.java
@@ -0,0 +1,111 @@
+package dev.zinniaring.model;
+
+import dev.zinniaring.kernel.JsonFields;
+import dev.zinniaring.kernel.Problem;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeSet;
+
+/** Reads the JSON declarations of ranks, routes and pools and collects every problem. */
+final class TablesReader {
+    private static final int MAX_DEADLINE_MILLIS = 600_000;
+    private static final int MAX_RETRIES = 10;
+    private static final int MAX_ORDER = 100;
+    private static final int MAX_WORTH = 1_000_000;
+    private static final int MAX_QUEUED = 100_000;
+
+    private final List<Problem> problems;
+    private final List<Rank> ranks = new ArrayList<>();
+    private final List<Route> routes = new ArrayList<>();
+    private final List<Pool> pools = new ArrayList<>();
+
+    TablesReader(List<Problem> problems) {
+        this.problems = problems;
+    }
+
+    /** Reads one document, an object with any of the lists ranks, routes and pools. */
+    void read(String text, String path) {
+        JsonFields document = JsonFields.parse(text, path, problems);
+        document.objects("ranks").forEach(fields -> ranks.add(rank(fields)));
+        document.objects("routes").forEach(fields -> routes.add(route(fields)));
+        document.objects("pools").forEach(fields -> pools.add(pool(fields)));
+        document.finish();
+    }
+
+    /** Returns the tables read so far, after reporting names that stand twice. */
+    Tables finish() {
+        reportRepeats("ranks", ranks.stream().map(Rank::name).toList());
+        reportRepeats("routes", routes.stream().map(Route::name).toList());
+        reportRepeats("pools", pools.stream().map(Pool::name).toList());
+        return Tables.of(ranks, routes, pools);
+    }
+
+    private static Rank rank(JsonFields fields) {
+        Rank rank =
+                new Rank(
+                        fields.text("name"),
+                        fields.integer("order", 0, MAX_ORDER),
+                        fields.integer("worth", 1, MAX_WORTH),
+                        fields.number("floorShare", 0, 1, 0));
+        fields.finish();
+        return rank;
+    }
+
+    private static Route route(JsonFields fields) {
+        Route route =
+                new Route(
+                        fields.text("name"),
+                        fields.text("host", "*").toLowerCase(Locale.ROOT),
+                        pathPrefix(fields),
+                        methods(fields),
+                        fields.text("rank"),
+                        fields.flag("idempotent", false),
+                        fields.integer("deadlineMillis", 1, MAX_DEADLINE_MILLIS),
+                        fields.integer("maxRetries", 0, MAX_RETRIES, 0),
+                        fields.text("pool"));
+        fields.finish();
+        return route;
+    }
+
+    private static String pathPrefix(JsonFields fields) {
+        String prefix = fields.text("pathPrefix", "/");
+        if (!prefix.startsWith("/")) {
+            fields.report("pathPrefix", prefix, "a path that starts with /");
+        }
+        return prefix;
+    }
+
+    private static TreeSet<String> methods(JsonFields fields) {
+        TreeSet<String> methods = new TreeSet<>();
+        for (String method : fields.texts("methods")) {
+            if (!method.equals(method.toUpperCase(Locale.ROOT))) {
+                fields.report("methods", method, "HTTP methods in upper case");
+            }
+            methods.add(method);
+        }
+        return methods;
+    }
+
+    private static Pool pool(JsonFields fields) {
+        Pool pool =
+                new Pool(
+                        fields.text("name"),
+                        fields.text("service"),
+                        fields.choice("policy", BalancePolicy.class, BalancePolicy.LEAST_LOADED),
+                        fields.integer("maxQueued", 0, MAX_QUEUED, 100),
+                        fields.integer("maxQueueMillis", 0, MAX_DEADLINE_MILLIS, 1_000),
+                        fields.integer("retryBudgetPercent", 0, 100, 10));
+        fields.finish();
+        return pool;
+    }
+
+    private void reportRepeats(String list, List<String> names) {
+        TreeSet<String> seen = new TreeSet<>();
+        for (String name : names) {
+            if (!seen.add(name)) {
+                problems.add(new Problem(list, name, "each name once"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/dev/zinniaring/model/Version.java
@@ -0,0 +1,26 @@
+package dev.zinniaring.model;
+
+/**
+ * An accepted state of the tables.
+ *
+ * @param number position in the mesh's history, from 1
+ * @param hash SHA-256 of the tables' canonical bytes, as 64 lower-case hexadecimal digits
+ * @param tables the content
+ */
+public record Version(long number, String hash, Tables tables) {
+    /**
+     * Checks the number.
+     *
+     * @throws IllegalArgumentException if {@code number} is below 1
+     */
+    public Version {
+        if (number < 1) {
+            throw new IllegalArgumentException("number must be at least 1, was " + number);
+        }
+    }
+
+    /** Returns a version with the hash of {@code tables}. */
+    public static Version of(long number, Tables tables) {
+        return new Version(number, TablesCodec.hash(TablesCodec.encode(tables)), tables);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/dev/zinniaring/transport/package-info.java
@@ -0,0 +1,5 @@
+/** Framed messages between nodes. */
+@NullMarked
+package dev.zinniaring.transport;
+
+import org.jspecify.annotations.NullMarked;
