--- /dev/null
+++ b/standins/src/main/java/dev/zinniaring/standins/PlatformRoutes.java
@@ -0,0 +1,154 @@
+package dev.zinniaring.standins;
+
+import dev.zinniaring.platform.MemoryPlatform;
+import dev.zinniaring.platform.PlatformException;
+import dev.zinniaring.platform.PlatformInvalidRequestException;
+import dev.zinniaring.platform.PlatformOutcomeUnknownException;
+import dev.zinniaring.platform.PlatformThrottledException;
+import dev.zinniaring.platform.PlatformUnavailableException;
+import dev.zinniaring.platform.PlatformWire;
+import dev.zinniaring.platform.Row;
+import dev.zinniaring.platform.Transaction;
+import io.javalin.config.RoutesConfig;
+import io.javalin.http.Context;
+import io.javalin.http.HttpStatus;
+import java.io.IOException;
+import java.util.Optional;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.jspecify.annotations.Nullable;
+
+/** The routes of {@link PlatformWire} over a platform in memory. */
+final class PlatformRoutes {
+    private final MemoryPlatform platform;
+
+    private PlatformRoutes(MemoryPlatform platform) {
+        this.platform = platform;
+    }
+
+    static void addTo(RoutesConfig routes, MemoryPlatform platform) {
+        PlatformRoutes handlers = new PlatformRoutes(platform);
+        routes.get("/table/row", handlers::getRow);
+        routes.get("/table/rows", handlers::scan);
+        routes.post("/table/transactions", handlers::commit);
+        routes.get("/objects/object", handlers::getObject);
+        routes.put("/objects/object", handlers::putObject);
+        routes.exception(PlatformException.class, PlatformRoutes::refuse);
+    }
+
+    private void getRow(Context context) throws PlatformException {
+        String key = parameter(context, "key");
+        String known = context.header("If-None-Match");
+        if (known == null) {
+            answer(context, platform.tables().get(key));
+            return;
+        }
+        long knownRevision = revision(known);
+        Optional<Row> row = platform.tables().getIfNewer(key, knownRevision);
+        // An absent row and an unchanged one look alike here, as they do to the caller.
+        if (row.isEmpty()) {
+            context.status(HttpStatus.NOT_MODIFIED);
+            return;
+        }
+        answer(context, row);
+    }
+
+    private static void answer(Context context, Optional<Row> row) {
+        if (row.isEmpty()) {
+            answerAbsent(context);
+            return;
+        }
+        context.header("ETag", PlatformWire.etag(row.get().revision()));
+        context.result(row.get().value());
+    }
+
+    private static void answerAbsent(Context context) {
+        context.status(HttpStatus.NOT_FOUND);
+        context.header(PlatformWire.ABSENCE_HEADER, PlatformWire.ABSENT);
+    }
+
+    private void scan(Context context) throws PlatformException {
+        int limit = integer(parameter(context, "limit"));
+        context.contentType("application/json");
+        context.result(
+                PlatformWire.encodeRows(
+                        platform.tables().scan(parameter(context, "prefix"), limit)));
+    }
+
+    private void commit(Context context) throws PlatformException {
+        Transaction transaction = transaction(context.bodyAsBytes());
+        boolean applied = platform.tables().commit(transaction);
+        context.contentType("application/json");
+        context.result(PlatformWire.encodeApplied(applied));
+    }
+
+    private void getObject(Context context) throws PlatformException {
+        Optional<byte[]> body = platform.objects().get(parameter(context, "key"));
+        if (body.isEmpty()) {
+            answerAbsent(context);
+            return;
+        }
+        context.contentType("application/octet-stream");
+        context.result(body.get());
+    }
+
+    private void putObject(Context context) throws PlatformException {
+        platform.objects().put(parameter(context, "key"), context.bodyAsBytes());
+        context.status(HttpStatus.NO_CONTENT);
+    }
+
+    private static String parameter(Context context, String name)
+            throws PlatformInvalidRequestException {
+        @Nullable String value = context.queryParam(name);
+        if (value == null) {
+            throw new PlatformInvalidRequestException("parameter " + name + " is missing");
+        }
+        return value;
+    }
+
+    private static int integer(String text) throws PlatformInvalidRequestException {
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            throw new PlatformInvalidRequestException(text + " is not a whole number", e);
+        }
+    }
+
+    private static long revision(String etag) throws PlatformInvalidRequestException {
+        try {
+            return PlatformWire.revision(etag);
+        } catch (IOException e) {
+            throw new PlatformInvalidRequestException(String.valueOf(e.getMessage()), e);
+        }
+    }
+
+    private static Transaction transaction(byte[] body) throws PlatformInvalidRequestException {
+        try {
+            return PlatformWire.decodeTransaction(body);
+        } catch (IOException e) {
+            throw new PlatformInvalidRequestException("the transaction is malformed", e);
+        }
+    }
+
+    private static void refuse(PlatformException e, Context context) {
+        if (e instanceof PlatformOutcomeUnknownException) {
+            breakConnection(context);
+        } else if (e instanceof PlatformThrottledException) {
+            context.status(HttpStatus.TOO_MANY_REQUESTS);
+        } else if (e instanceof PlatformUnavailableException) {
+            context.status(HttpStatus.SERVICE_UNAVAILABLE);
+        } else {
+            context.status(HttpStatus.BAD_REQUEST);
+        }
+        context.result(String.valueOf(e.getMessage()));
+    }
+
+    /** Loses the answer as a failing link does: the client sees the connection end. */
+    private static void breakConnection(Context context) {
+        ServletContextRequest.getServletContextRequest(context.req())
+                .getConnectionMetaData()
+                .getConnection()
+                .getEndPoint()
+                .close();
+        context.status(HttpStatus.INTERNAL_SERVER_ERROR);
+    }
+}
