Publish versions with one transaction and a token row

Cause: operators race and answers get lost, yet an accepted change must never be lost and nothing may be reported that did not happen. Change: Publisher stores the body, then commits head, version row and token row together. A lost answer is settled through the token row; the aborted row keeps a late commit out. PlatformVersionSource is what nodes read. Tests run racing operators over 1,500 seeded interleavings with a fault at any request.

--- /dev/null
+++ b/publish/src/main/java/dev/zinniaring/publish/PlatformVersionSource.java
@@ -0,0 +1,156 @@
+package dev.zinniaring.publish;
+
+import dev.zinniaring.model.TablesCodec;
+import dev.zinniaring.platform.ObjectStore;
+import dev.zinniaring.platform.PlatformBounds;
+import dev.zinniaring.platform.PlatformException;
+import dev.zinniaring.platform.Row;
+import dev.zinniaring.platform.TableService;
+import dev.zinniaring.platform.Transaction;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/** Reads the published versions of one mesh from the platform. */
+public final class PlatformVersionSource implements VersionSource {
+    /** Attempts to raise a mark against other writers; one of them raises it in each round. */
+    private static final int MARK_ATTEMPTS = 5;
+
+    private static final Head NO_HEAD = new Head(0, "", "", 0, "", 0);
+
+    private final MeshKeys keys;
+    private final TableService tables;
+    private final ObjectStore objects;
+    private final TokenSource tokens;
+
+    /**
+     * Creates a source.
+     *
+     * @param mesh name of the mesh, in lower-case letters, digits and hyphens
+     * @param random makes the tokens of the mark's transactions
+     * @throws IllegalArgumentException if {@code mesh} is not such a name
+     */
+    public PlatformVersionSource(
+            String mesh, TableService tables, ObjectStore objects, RandomGenerator random) {
+        this.keys = new MeshKeys(mesh);
+        this.tables = tables;
+        this.objects = objects;
+        this.tokens = new TokenSource(random);
+    }
+
+    @Override
+    public Head head() throws PublishException {
+        try {
+            Optional<Row> row = tables.get(keys.head());
+            return row.isEmpty() ? NO_HEAD : head(row.get());
+        } catch (PlatformException e) {
+            throw Failures.withoutEffect("the head cannot be read", e);
+        }
+    }
+
+    @Override
+    public Optional<Head> headIfNewer(long knownRevision) throws PublishException {
+        try {
+            Optional<Row> row = tables.getIfNewer(keys.head(), knownRevision);
+            return row.isEmpty() ? Optional.empty() : Optional.of(head(row.get()));
+        } catch (PlatformException e) {
+            throw Failures.withoutEffect("the head cannot be read", e);
+        }
+    }
+
+    @Override
+    public byte[] body(String hash) throws PublishException {
+        byte[] body = storedBody(hash);
+        String actual = TablesCodec.hash(body);
+        if (!actual.equals(hash)) {
+            throw new PublishCorruptException(
+                    "the tables stored as " + hash + " have the hash " + actual);
+        }
+        return body;
+    }
+
+    private byte[] storedBody(String hash) throws PublishException {
+        try {
+            return objects.get(keys.body(hash))
+                    .orElseThrow(
+                            () ->
+                                    new PublishCorruptException(
+                                            "the tables " + hash + " are missing"));
+        } catch (PlatformException e) {
+            throw Failures.withoutEffect("the tables " + hash + " cannot be read", e);
+        }
+    }
+
+    /** Returns one entry of the history, or empty if no such version was accepted. */
+    Optional<VersionEntry> entry(long number) throws PublishException {
+        try {
+            Optional<Row> row = tables.get(keys.version(number));
+            return row.isEmpty() ? Optional.empty() : Optional.of(RowCodec.decodeEntry(row.get()));
+        } catch (PlatformException e) {
+            throw Failures.withoutEffect("version " + number + " cannot be read", e);
+        }
+    }
+
+    @Override
+    public Map<String, Long> marks() throws PublishException {
+        Map<String, Long> marks = new TreeMap<>();
+        try {
+            for (Row row : tables.scan(keys.marks(), PlatformBounds.MAX_SCAN_ROWS)) {
+                marks.put(row.key().substring(keys.marks().length()), RowCodec.decodeMark(row));
+            }
+        } catch (PlatformException e) {
+            throw Failures.withoutEffect("the marks cannot be read", e);
+        }
+        return marks;
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * @throws IllegalArgumentException if {@code mark} is below 1
+     */
+    @Override
+    public void putMark(String seed, long mark) throws PublishException {
+        if (mark < 1) {
+            throw new IllegalArgumentException("mark must be at least 1, was " + mark);
+        }
+        try {
+            for (int attempt = 1; attempt <= MARK_ATTEMPTS; attempt++) {
+                if (raiseMark(keys.mark(seed), mark)) {
+                    return;
+                }
+            }
+        } catch (PlatformException e) {
+            // An unknown outcome is harmless: marks only rise, and the caller repeats.
+            throw Failures.withoutEffect("the mark of seed " + seed + " cannot be written", e);
+        }
+        throw new PublishUnavailableException(
+                "the mark of seed " + seed + " lost " + MARK_ATTEMPTS + " races in a row");
+    }
+
+    private boolean raiseMark(String key, long mark)
+            throws PlatformException, PublishCorruptException {
+        Optional<Row> present = tables.get(key);
+        if (present.isPresent() && RowCodec.decodeMark(present.get()) >= mark) {
+            return true;
+        }
+        long revision = present.map(Row::revision).orElse(Transaction.ABSENT);
+        return tables.commit(
+                Transaction.withToken(tokens.next())
+                        .requireRevision(key, revision)
+                        .put(key, RowCodec.encodeMark(mark))
+                        .build());
+    }
+
+    private static Head head(Row row) throws PublishCorruptException {
+        VersionEntry entry = RowCodec.decodeEntry(row);
+        return new Head(
+                entry.number(),
+                entry.hash(),
+                entry.author(),
+                entry.acceptedAtMillis(),
+                entry.token(),
+                row.revision());
+    }
+}
--- /dev/null
+++ b/publish/src/main/java/dev/zinniaring/publish/PublishCorruptException.java
@@ -0,0 +1,16 @@
+package dev.zinniaring.publish;
+
+/** What the platform holds cannot be read or does not match its hash; nothing was changed. */
+public final class PublishCorruptException extends PublishException {
+    private static final long serialVersionUID = 1L;
+
+    /** Creates the exception. */
+    public PublishCorruptException(String message) {
+        super(message);
+    }
+
+    /** Creates the exception with its cause. */
+    public PublishCorruptException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/publish/src/main/java/dev/zinniaring/publish/Publisher.java
@@ -0,0 +1,279 @@
+package dev.zinniaring.publish;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.ModelException;
+import dev.zinniaring.model.Tables;
+import dev.zinniaring.model.TablesCodec;
+import dev.zinniaring.model.Version;
+import dev.zinniaring.platform.ObjectStore;
+import dev.zinniaring.platform.PlatformException;
+import dev.zinniaring.platform.PlatformOutcomeUnknownException;
+import dev.zinniaring.platform.TableService;
+import dev.zinniaring.platform.Transaction;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Accepts changes of a mesh's tables. Each accepted change gets the next number; of several that
+ * race for a number, one wins. Safe for use by several threads.
+ *
+ * <pre>{@code
+ * Publisher publisher = Publisher.builder("pt-centro", tables, objects).author("ines").build();
+ * VersionEntry accepted = publisher.publish(TablesCodec.readDirectory(Path.of("tables")));
+ * }</pre>
+ *
+ * <p>All methods throw {@link PublishUnavailableException} if the platform cannot be used, {@link
+ * PublishCorruptException} if it holds what cannot be read, and {@link PublishRefusedException} if
+ * the request cannot be carried out as it stands. In all three cases nothing was changed.
+ */
+public final class Publisher {
+    private final MeshKeys keys;
+    private final TableService tables;
+    private final ObjectStore objects;
+    private final Clock clock;
+    private final String author;
+    private final TokenSource tokens;
+    private final TokenRows tokenRows;
+    private final PlatformVersionSource source;
+
+    private Publisher(Builder builder) {
+        this.keys = new MeshKeys(builder.mesh);
+        this.tables = builder.tables;
+        this.objects = builder.objects;
+        this.clock = builder.clock;
+        this.author = builder.author;
+        this.tokens = new TokenSource(builder.random);
+        this.tokenRows = new TokenRows(keys, tables, tokens);
+        this.source = new PlatformVersionSource(builder.mesh, tables, objects, builder.random);
+    }
+
+    /** Starts the description of a publisher of one mesh. */
+    public static Builder builder(String mesh, TableService tables, ObjectStore objects) {
+        return new Builder(mesh, tables, objects);
+    }
+
+    /**
+     * Publishes tables on top of whatever version is the latest now.
+     *
+     * @throws PublishConflictException if another change was accepted meanwhile
+     * @throws PublishOutcomeUnknownException if the answer was lost and could not be settled
+     */
+    public VersionEntry publish(Tables content) throws PublishException {
+        return publish(content, source.head());
+    }
+
+    /**
+     * Publishes tables as the version after {@code expectedVersion}, 0 for the first.
+     *
+     * @throws PublishConflictException if another version is the latest
+     * @throws PublishOutcomeUnknownException if the answer was lost and could not be settled
+     */
+    public VersionEntry publish(Tables content, long expectedVersion) throws PublishException {
+        Head head = source.head();
+        if (head.number() != expectedVersion) {
+            throw new PublishConflictException(expectedVersion, head.number());
+        }
+        return publish(content, head);
+    }
+
+    private VersionEntry publish(Tables content, Head base) throws PublishException {
+        byte[] body = TablesCodec.encode(content);
+        check(body);
+        String hash = TablesCodec.hash(body);
+        putBody(hash, body);
+        return commit(base, hash);
+    }
+
+    /** Refuses what a node would refuse, before anything is written. */
+    private static Tables check(byte[] body) throws PublishRefusedException {
+        try {
+            return TablesCodec.decode(body);
+        } catch (ModelException e) {
+            throw new PublishRefusedException("the tables are not valid:\n" + e.getMessage(), e);
+        }
+    }
+
+    private void putBody(String hash, byte[] body) throws PublishException {
+        try {
+            objects.put(keys.body(hash), body);
+        } catch (PlatformException e) {
+            // A body that nothing refers to has no effect, whether it was stored or not.
+            throw Failures.withoutEffect("the tables cannot be stored", e);
+        }
+    }
+
+    private VersionEntry commit(Head base, String hash) throws PublishException {
+        VersionEntry entry =
+                new VersionEntry(
+                        base.number() + 1, hash, author, clock.now().toEpochMilli(), tokens.next());
+        try {
+            if (tables.commit(transaction(base, entry))) {
+                return entry;
+            }
+        } catch (PlatformOutcomeUnknownException e) {
+            return settleLostAnswer(entry, e);
+        } catch (PlatformException e) {
+            throw Failures.withoutEffect("the change cannot be committed", e);
+        }
+        return settleRefusal(base, entry);
+    }
+
+    private Transaction transaction(Head base, VersionEntry entry) {
+        byte[] row = RowCodec.encode(entry);
+        return Transaction.withToken(entry.token())
+                .requireRevision(keys.head(), base.revision())
+                .requireAbsent(keys.version(entry.number()))
+                .requireAbsent(keys.token(entry.token()))
+                .put(keys.head(), row)
+                .put(keys.version(entry.number()), row)
+                .put(keys.token(entry.token()), RowCodec.encodeAccepted(entry.number()))
+                .build();
+    }
+
+    private VersionEntry settleLostAnswer(VersionEntry entry, PlatformException cause)
+            throws PublishException {
+        if (tokenRows.settle(entry.token()).accepted()) {
+            return entry;
+        }
+        throw new PublishUnavailableException(
+                "the request to commit was lost; the change was not accepted and never will be",
+                cause);
+    }
+
+    /**
+     * Tells why the transaction was not applied. The token row is read although the platform
+     * remembers the tokens of transactions: its memory is bounded, and a repeat that it no longer
+     * knows is refused although the first request took effect.
+     */
+    private VersionEntry settleRefusal(Head base, VersionEntry entry) throws PublishException {
+        Optional<Resolution> decided;
+        try {
+            decided = tokenRows.read(entry.token());
+        } catch (PlatformException e) {
+            throw new PublishOutcomeUnknownException(entry.token(), e);
+        }
+        if (decided.isEmpty()) {
+            throw new PublishConflictException(base.number(), winner(entry));
+        }
+        if (decided.get().accepted()) {
+            return entry;
+        }
+        throw new PublishRefusedException(
+                "publication " + entry.token() + " was aborted by another command");
+    }
+
+    /** Returns the latest number, or the contested one, which is certainly taken. */
+    private long winner(VersionEntry entry) throws PublishCorruptException {
+        try {
+            return Math.max(entry.number(), source.head().number());
+        } catch (PublishCorruptException e) {
+            throw e;
+        } catch (PublishException e) {
+            return entry.number();
+        }
+    }
+
+    /**
+     * Settles a publication whose outcome is unknown. If it has not been accepted by now, it never
+     * will be.
+     *
+     * @throws PublishOutcomeUnknownException if the platform does not answer
+     */
+    public Resolution resolve(String token) throws PublishException {
+        if (!TokenSource.isToken(token)) {
+            throw new PublishRefusedException(
+                    "a token has 32 hexadecimal digits in lower case, was " + token);
+        }
+        return tokenRows.settle(token);
+    }
+
+    /**
+     * Publishes the content of an older version again, under the next number.
+     *
+     * @throws PublishConflictException if another change was accepted meanwhile
+     * @throws PublishOutcomeUnknownException if the answer was lost and could not be settled
+     */
+    public VersionEntry rollback(long number) throws PublishException {
+        Head head = source.head();
+        VersionEntry old = entry(number);
+        check(source.body(old.hash()));
+        return commit(head, old.hash());
+    }
+
+    /** Returns up to {@code limit} accepted versions, the latest first. */
+    public List<VersionEntry> history(int limit) throws PublishException {
+        if (limit < 1) {
+            throw new IllegalArgumentException("limit must be at least 1, was " + limit);
+        }
+        List<VersionEntry> history = new ArrayList<>();
+        long latest = source.head().number();
+        for (long number = latest; number >= 1 && history.size() < limit; number--) {
+            history.add(entry(number));
+        }
+        return history;
+    }
+
+    /** Returns an accepted version with its content, verified against its hash. */
+    public Version version(long number) throws PublishException {
+        VersionEntry entry = entry(number);
+        byte[] body = source.body(entry.hash());
+        return new Version(number, entry.hash(), check(body));
+    }
+
+    /** Returns what nodes read of this mesh. */
+    public VersionSource source() {
+        return source;
+    }
+
+    private VersionEntry entry(long number) throws PublishException {
+        return source.entry(number)
+                .orElseThrow(
+                        () -> new PublishRefusedException("version " + number + " does not exist"));
+    }
+
+    /** Collects the parts of a publisher. */
+    public static final class Builder {
+        private final String mesh;
+        private final TableService tables;
+        private final ObjectStore objects;
+        private Clock clock = Clock.system();
+        private String author = "unknown";
+        private RandomGenerator random = new SecureRandom();
+
+        private Builder(String mesh, TableService tables, ObjectStore objects) {
+            this.mesh = mesh;
+            this.tables = tables;
+            this.objects = objects;
+        }
+
+        /** Sets the clock that dates the versions. */
+        public Builder clock(Clock clock) {
+            this.clock = clock;
+            return this;
+        }
+
+        /** Sets who is named as the author of the versions. */
+        public Builder author(String author) {
+            this.author = author;
+            return this;
+        }
+
+        /** Sets the source of the tokens; it must not repeat itself between publishers. */
+        public Builder random(RandomGenerator random) {
+            this.random = random;
+            return this;
+        }
+
+        /**
+         * Returns the publisher.
+         *
+         * @throws IllegalArgumentException if the mesh's name is not one
+         */
+        public Publisher build() {
+            return new Publisher(this);
+        }
+    }
+}
--- /dev/null
+++ b/publish/src/test/java/dev/zinniaring/publish/PublisherHistoryTest.java
@@ -0,0 +1,158 @@
+package dev.zinniaring.publish;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.kernel.ManualClock;
+import dev.zinniaring.model.BalancePolicy;
+import dev.zinniaring.model.Pool;
+import dev.zinniaring.model.Tables;
+import dev.zinniaring.platform.MemoryPlatform;
+import dev.zinniaring.platform.PlatformException;
+import dev.zinniaring.platform.Row;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * Checks histories of racing operators over many interleavings, with lost and delayed answers at
+ * every request of the protocol.
+ *
+ * <p>Without the token row these checks fail: a publication whose delayed commit takes effect after
+ * it was reported as not accepted leaves a version that nobody was told of, and one whose answer
+ * was lost after the effect is reported as failed. Without the aborted row the first still happens.
+ */
+class PublisherHistoryTest {
+    private static final String MESH = "m";
+
+    /** One command of an operator, identified by its author, and what it reported. */
+    private record Action(String author, long base, Object outcome) {}
+
+    @Property(tries = 1500, seed = "20261204")
+    void racingOperatorsAreToldTheTruth(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 4) int operators,
+            @ForAll @IntRange(min = 0, max = 6) int faultTenths)
+            throws Exception {
+        MemoryPlatform platform =
+                new MemoryPlatform(ManualClock.startingAt(Instant.EPOCH), length -> {});
+        List<Action> actions = Collections.synchronizedList(new ArrayList<>());
+        List<Runnable> bodies = new ArrayList<>();
+        for (int i = 0; i < operators; i++) {
+            int id = i;
+            RandomGenerator random = new SplittableRandom(seed * 31 + id);
+            bodies.add(() -> operate(platform, id, random, actions));
+        }
+        new Interleaving(platform, seed, faultTenths / 10.0).run(bodies);
+        boolean deliverFirst = seed % 2 == 0;
+        if (deliverFirst) {
+            platform.deliverDelayed();
+        }
+        List<Action> settled = settle(platform, actions);
+        platform.deliverDelayed();
+        check(platform, settled);
+    }
+
+    private static void operate(
+            MemoryPlatform platform, int id, RandomGenerator random, List<Action> actions) {
+        for (int i = 0; i < 3; i++) {
+            String author = "op" + id + "-" + i;
+            Publisher publisher = publisher(platform, author, random);
+            int choice = random.nextInt(4);
+            long number = 1 + random.nextInt(3);
+            try {
+                VersionEntry entry =
+                        choice == 0
+                                ? publisher.rollback(number)
+                                : choice == 1
+                                        ? publisher.publish(tables(author), number)
+                                        : publisher.publish(tables(author));
+                actions.add(new Action(author, entry.number() - 1, entry));
+            } catch (PublishException e) {
+                actions.add(new Action(author, number, e));
+            }
+        }
+    }
+
+    /** Replaces unknown outcomes by what resolving reports, asked twice. */
+    private static List<Action> settle(MemoryPlatform platform, List<Action> actions)
+            throws PublishException {
+        List<Action> settled = new ArrayList<>();
+        Publisher publisher = publisher(platform, "resolver", new SplittableRandom(99));
+        for (Action action : actions) {
+            if (action.outcome() instanceof PublishOutcomeUnknownException unknown) {
+                Resolution resolution = publisher.resolve(unknown.token());
+                assertThat(publisher.resolve(unknown.token())).isEqualTo(resolution);
+                settled.add(new Action(action.author(), action.base(), resolution));
+            } else {
+                settled.add(action);
+            }
+        }
+        return settled;
+    }
+
+    private static void check(MemoryPlatform platform, List<Action> actions) throws Exception {
+        List<VersionEntry> history = history(platform);
+        for (Action action : actions) {
+            List<VersionEntry> own =
+                    history.stream().filter(e -> e.author().equals(action.author())).toList();
+            Object outcome = action.outcome();
+            if (outcome instanceof VersionEntry entry) {
+                assertThat(own).as(action.toString()).containsExactly(entry);
+            } else if (outcome instanceof Resolution resolution && resolution.accepted()) {
+                assertThat(own).as(action.toString()).hasSize(1);
+                assertThat(own.get(0).number()).isEqualTo(resolution.number());
+            } else {
+                assertThat(own).as(action.toString()).isEmpty();
+            }
+            if (outcome instanceof PublishConflictException conflict) {
+                assertThat(history)
+                        .as(action.toString())
+                        .hasSizeGreaterThanOrEqualTo((int) conflict.winner());
+            }
+        }
+        Publisher publisher = publisher(platform, "reader", new SplittableRandom(98));
+        for (VersionEntry entry : history) {
+            assertThat(publisher.version(entry.number()).hash()).isEqualTo(entry.hash());
+        }
+    }
+
+    /** Returns all version rows after checking that they are gapless and end at the head. */
+    private static List<VersionEntry> history(MemoryPlatform platform)
+            throws PlatformException, PublishException {
+        List<VersionEntry> entries = new ArrayList<>();
+        for (Row row : platform.tables().scan("mesh/" + MESH + "/version/", 1_000)) {
+            entries.add(RowCodec.decodeEntry(row));
+            assertThat(row.revision()).as("a version row is written once").isEqualTo(1);
+        }
+        entries.sort((a, b) -> Long.compare(a.number(), b.number()));
+        for (int i = 0; i < entries.size(); i++) {
+            assertThat(entries.get(i).number()).isEqualTo(i + 1);
+        }
+        Publisher publisher = publisher(platform, "reader", new SplittableRandom(97));
+        assertThat(publisher.source().head().number()).isEqualTo(entries.size());
+        List<VersionEntry> reported = new ArrayList<>(publisher.history(1_000));
+        Collections.reverse(reported);
+        assertThat(reported).isEqualTo(entries);
+        return entries;
+    }
+
+    private static Publisher publisher(
+            MemoryPlatform platform, String author, RandomGenerator random) {
+        return Publisher.builder(MESH, platform.tables(), platform.objects())
+                .clock(ManualClock.startingAt(Instant.EPOCH))
+                .author(author)
+                .random(random)
+                .build();
+    }
+
+    private static Tables tables(String name) {
+        Pool pool = new Pool(name, "service", BalancePolicy.LEAST_LOADED, 1, 1, 1);
+        return Tables.of(List.of(), List.of(), List.of(pool));
+    }
+}
