Add zinniarctl, the operators' command

Cause: operators declare, apply, inspect and settle changes from a shell. Conclusion: status and dump await the node's admin routes.

--- /dev/null
+++ b/ctl/src/main/java/dev/zinniaring/ctl/ApplyCommand.java
@@ -0,0 +1,59 @@
+package dev.zinniaring.ctl;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.zinniaring.model.Tables;
+import dev.zinniaring.model.TablesDiff;
+import dev.zinniaring.publish.PublishCorruptException;
+import dev.zinniaring.publish.PublishException;
+import dev.zinniaring.publish.PublishRefusedException;
+import dev.zinniaring.publish.Publisher;
+import dev.zinniaring.publish.VersionEntry;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Publishes declarations as the next version. */
+final class ApplyCommand extends ChangeCommand {
+    @Argument(metaVar = "DIRECTORY", required = true, usage = "declarations, or one file")
+    private String directory = "";
+
+    @Option(name = "--dry-run", usage = "show the changes and publish nothing")
+    private boolean dryRun;
+
+    @Override
+    void run(Parts parts, Console console) throws CtlException, PublishException {
+        Tables tables = TablesFiles.read(directory);
+        Publisher publisher = parts.get().publisher();
+        long base = base(publisher);
+        TablesDiff diff = TablesDiff.between(present(publisher, base, console), tables);
+        ObjectNode json = Console.object();
+        json.set("changes", diff.toJson());
+        if (base > 0 && diff.isEmpty()) {
+            json.put("accepted", false).put("number", base);
+            follow(parts, base, json, console);
+            console.result("no changes; version " + base + " has these tables", json);
+            return;
+        }
+        if (dryRun) {
+            json.put("accepted", false).put("number", base);
+            console.result(diff + "\ndry run: nothing was published", json);
+            return;
+        }
+        VersionEntry entry = publisher.publish(tables, base);
+        accepted(parts, entry, diff + "\n", json, console);
+    }
+
+    private static Tables present(Publisher publisher, long number, Console console)
+            throws PublishException {
+        if (number == 0) {
+            return Tables.EMPTY;
+        }
+        try {
+            return publisher.version(number).tables();
+        } catch (PublishCorruptException | PublishRefusedException e) {
+            // A version that cannot be read must not keep operators from replacing it.
+            console.progress(
+                    "warning: no comparison with version " + number + ": " + e.getMessage());
+            return Tables.EMPTY;
+        }
+    }
+}
--- a/publish/src/main/java/dev/zinniaring/publish/Publisher.java
+++ b/publish/src/main/java/dev/zinniaring/publish/Publisher.java
@@ -72,11 +72,15 @@
      * @throws PublishOutcomeUnknownException if the answer was lost and could not be settled
      */
     public VersionEntry publish(Tables content, long expectedVersion) throws PublishException {
+        return publish(content, expectedHead(expectedVersion));
+    }
+
+    private Head expectedHead(long expectedVersion) throws PublishException {
         Head head = source.head();
         if (head.number() != expectedVersion) {
             throw new PublishConflictException(expectedVersion, head.number());
         }
-        return publish(content, head);
+        return head;
     }
 
     private VersionEntry publish(Tables content, Head base) throws PublishException {
@@ -197,10 +201,24 @@
      * @throws PublishOutcomeUnknownException if the answer was lost and could not be settled
      */
     public VersionEntry rollback(long number) throws PublishException {
-        Head head = source.head();
+        return rollback(number, source.head());
+    }
+
+    /**
+     * Publishes the content of an older version again, as the version after {@code
+     * expectedVersion}.
+     *
+     * @throws PublishConflictException if another version is the latest
+     * @throws PublishOutcomeUnknownException if the answer was lost and could not be settled
+     */
+    public VersionEntry rollback(long number, long expectedVersion) throws PublishException {
+        return rollback(number, expectedHead(expectedVersion));
+    }
+
+    private VersionEntry rollback(long number, Head base) throws PublishException {
         VersionEntry old = entry(number);
         check(source.body(old.hash()));
-        return commit(head, old.hash());
+        return commit(base, old.hash());
     }
 
     /** Returns up to {@code limit} accepted versions, the latest first. */
