Tell the token of a publication before its commit

Cause: a command that died during its commit left nobody who knew the token to resolve. Change: Publisher names the token before the commit, and zinniarctl writes it to its error stream. An accepted change is reported also when the wait for the nodes fails. Conclusion: every outcome of a command can be settled.

--- a/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
@@ -41,9 +41,13 @@
                 .put("number", entry.number())
                 .put("hash", entry.hash())
                 .put("token", entry.token());
-        follow(parts, entry.number(), json, console);
-        console.result(
-                "%sversion %d, hash %s".formatted(before, entry.number(), entry.hash()), json);
+        try {
+            follow(parts, entry.number(), json, console);
+        } finally {
+            // The change is accepted, also if not every node follows in time.
+            console.result(
+                    "%sversion %d, hash %s".formatted(before, entry.number(), entry.hash()), json);
+        }
     }
 
     final void follow(Parts parts, long number, ObjectNode json, Console console)
--- a/ctl/src/main/java/dev/zinniaring/ctl/Console.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/Console.java
@@ -40,7 +40,7 @@
 
     /** Writes a line that tells how far a long command is. */
     void progress(String line) {
-        err.println(line);
+        err.println(json ? object().put("progress", line).toString() : line);
     }
 
     /** Writes why the command failed. */
--- a/ctl/src/main/java/dev/zinniaring/ctl/Ctl.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/Ctl.java
@@ -110,7 +110,11 @@
 
     private ExitStatus run(String name, Command command, List<String> args) {
         CmdLineParser parser =
-                new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH));
+                new CmdLineParser(
+                        command,
+                        ParserProperties.defaults()
+                                .withUsageWidth(USAGE_WIDTH)
+                                .withShowDefaults(false));
         try {
             parser.parseArgument(args);
         } catch (CmdLineException e) {
@@ -149,7 +153,8 @@
 
     private void runWired(Command command, Console console) throws CtlException, PublishException {
         CtlComponent component =
-                DaggerCtlComponent.factory().create(settings(command.settings()), clock, pause);
+                DaggerCtlComponent.factory()
+                        .create(settings(command.settings()), console, clock, pause);
         try (var http = component.http();
                 var nodes = component.nodes()) {
             command.run(() -> component, console);
--- a/ctl/src/main/java/dev/zinniaring/ctl/CtlComponent.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/CtlComponent.java
@@ -25,6 +25,7 @@
     interface Factory {
         CtlComponent create(
                 @BindsInstance CtlSettings settings,
+                @BindsInstance Console console,
                 @BindsInstance Clock clock,
                 @BindsInstance Pause pause);
     }
--- a/ctl/src/main/java/dev/zinniaring/ctl/CtlModule.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/CtlModule.java
@@ -40,10 +40,15 @@
     @Provides
     @Singleton
     static Publisher publisher(
-            CtlSettings settings, TableService tables, ObjectStore objects, Clock clock) {
+            CtlSettings settings,
+            Console console,
+            TableService tables,
+            ObjectStore objects,
+            Clock clock) {
         return Publisher.builder(settings.mesh(), tables, objects)
                 .author(settings.author())
                 .clock(clock)
+                .beforeCommit(token -> console.progress("publishing with token " + token))
                 .build();
     }
 
--- a/ctl/src/test/java/dev/zinniaring/ctl/CtlTest.java
+++ b/ctl/src/test/java/dev/zinniaring/ctl/CtlTest.java
@@ -59,6 +59,7 @@
     void appliedTablesCanBeListedComparedAndReadBack() throws IOException {
         assertThat(run("apply", PT)).isZero();
         assertThat(out()).contains("+ route orders").contains("version 1, hash ");
+        assertThat(err()).containsPattern("publishing with token [0-9a-f]{32}");
         assertThat(run("diff", SE)).isZero();
         assertThat(out()).contains("- route orders").contains("+ route fees");
         assertThat(run("apply", SE, "--output", "json")).isZero();
@@ -192,6 +193,7 @@
     void waitingEndsWithAnErrorWhenTimeIsUpOrANodeRefuses() {
         assertThat(run("apply", PT, "--wait", "--wait-seconds", "3")).isEqualTo(1);
         assertThat(err()).contains("version 1 is accepted, but only 0 of 3 nodes follow");
+        assertThat(out()).contains("version 1, hash");
         assertThat(clock.nanos()).isEqualTo(Duration.ofSeconds(3).toNanos());
         nodes.version(2, 1, ", \"refusedVersion\": 2");
         assertThat(run("apply", SE, "--wait")).isEqualTo(3);
--- a/publish/src/main/java/dev/zinniaring/publish/Publisher.java
+++ b/publish/src/main/java/dev/zinniaring/publish/Publisher.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -38,6 +39,7 @@
     private final TokenSource tokens;
     private final TokenRows tokenRows;
     private final PlatformVersionSource source;
+    private final Consumer<String> beforeCommit;
 
     private Publisher(Builder builder) {
         this.keys = new MeshKeys(builder.mesh);
@@ -45,6 +47,7 @@
         this.objects = builder.objects;
         this.clock = builder.clock;
         this.author = builder.author;
+        this.beforeCommit = builder.beforeCommit;
         this.tokens = new TokenSource(builder.random);
         this.tokenRows = new TokenRows(keys, tables, tokens);
         this.source = new PlatformVersionSource(builder.mesh, tables, objects, builder.random);
@@ -113,6 +116,7 @@
         VersionEntry entry =
                 new VersionEntry(
                         base.number() + 1, hash, author, clock.now().toEpochMilli(), tokens.next());
+        beforeCommit.accept(entry.token());
         try {
             if (tables.commit(transaction(base, entry))) {
                 return entry;
@@ -260,6 +264,7 @@
         private Clock clock = Clock.system();
         private String author = "unknown";
         private RandomGenerator random = new SecureRandom();
+        private Consumer<String> beforeCommit = token -> {};
 
         private Builder(String mesh, TableService tables, ObjectStore objects) {
             this.mesh = mesh;
@@ -285,6 +290,15 @@
             return this;
         }
 
+        /**
+         * Sets who is told the token of each publication before its commit, so that it can be
+         * resolved even if this process dies.
+         */
+        public Builder beforeCommit(Consumer<String> beforeCommit) {
+            this.beforeCommit = beforeCommit;
+            return this;
+        }
+
         /**
          * Returns the publisher.
          *
--- a/publish/src/test/java/dev/zinniaring/publish/PublisherTest.java
+++ b/publish/src/test/java/dev/zinniaring/publish/PublisherTest.java
@@ -15,6 +15,7 @@
 import dev.zinniaring.platform.RequestKind;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Queue;
@@ -127,6 +128,32 @@
         assertThat(publisher.source().head().number()).isEqualTo(number);
     }
 
+    /** Guards against a command that dies at its commit and leaves nobody able to tell. */
+    @ParameterizedTest
+    @CsvSource({"LOST_AFTER_EFFECT, 1", "LOST_BEFORE_EFFECT, 0", "LOST_AND_DELAYED, 0"})
+    void aPublicationWhosePublisherDiedIsSettledByItsToken(Fault fault, long number)
+            throws PublishException {
+        List<String> tokens = new ArrayList<>();
+        Publisher dying =
+                Publisher.builder("m", platform.tables(), platform.objects())
+                        .beforeCommit(tokens::add)
+                        .build();
+        platform.faults()
+                .rule(
+                        (kind, key) -> {
+                            if (key.contains("/token/")) {
+                                throw new IllegalStateException("the process dies here");
+                            }
+                            return kind == RequestKind.COMMIT ? fault : Fault.NONE;
+                        });
+        assertThatThrownBy(() -> dying.publish(tables("a")))
+                .isInstanceOf(IllegalStateException.class);
+        platform.faults().clear();
+        assertThat(publisher.resolve(tokens.get(0)).number()).isEqualTo(number);
+        platform.deliverDelayed();
+        assertThat(publisher.source().head().number()).isEqualTo(number);
+    }
+
     /** Guards against a resolved publication that is accepted after all. */
     @Test
     void aPublicationThatWasResolvedAsAbortedIsRefused() throws PublishException {
