Add the frame of the experiment tool

Cause: experiments need one way to be listed, run, seeded and reported. Conclusion: experiments can be added one class each.

--- /dev/null
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -0,0 +1,15 @@
+package dev.zinniaring.bench;
+
+import java.util.List;
+import java.util.Optional;
+
+/** All experiments, in the order in which they are listed. */
+final class Experiments {
+    static final List<Experiment> ALL = List.of();
+
+    private Experiments() {}
+
+    static Optional<Experiment> named(String name) {
+        return ALL.stream().filter(experiment -> experiment.name().equals(name)).findFirst();
+    }
+}
