--- /dev/null
+++ b/transport/src/main/java/dev/zinniaring/transport/BackOff.java
@@ -0,0 +1,49 @@
+package dev.zinniaring.transport;
+
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+/**
+ * Delays between attempts with full jitter: each is random between nothing and a bound that doubles
+ * with every failure. Used by one thread at a time.
+ *
+ * <pre>{@code
+ * BackOff backOff = new BackOff(Duration.ofMillis(100), Duration.ofSeconds(10), random);
+ * scheduler.after(backOff.next(), this::connect);
+ * }</pre>
+ */
+public final class BackOff {
+    private final long firstNanos;
+    private final long maxNanos;
+    private final RandomGenerator random;
+    private long boundNanos;
+
+    /**
+     * Creates a back-off.
+     *
+     * @param first bound of the first delay, above zero
+     * @param max largest bound, at least {@code first}
+     */
+    public BackOff(Duration first, Duration max, RandomGenerator random) {
+        if (first.isNegative() || first.isZero() || max.compareTo(first) < 0) {
+            throw new IllegalArgumentException(
+                    "first must be above zero and at most max, were " + first + " and " + max);
+        }
+        this.firstNanos = first.toNanos();
+        this.maxNanos = max.toNanos();
+        this.random = random;
+        this.boundNanos = firstNanos;
+    }
+
+    /** Returns the delay before the next attempt and doubles the bound of the one after. */
+    public Duration next() {
+        long delayNanos = random.nextLong(boundNanos + 1);
+        boundNanos = Math.min(maxNanos, 2 * boundNanos);
+        return Duration.ofNanos(delayNanos);
+    }
+
+    /** Returns to the first bound after a success. */
+    public void reset() {
+        boundNanos = firstNanos;
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/dev/zinniaring/transport/LinkConditions.java
@@ -0,0 +1,95 @@
+package dev.zinniaring.transport;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * How links between availability zones behave, for experiments: delay, jitter, loss and cuts, for
+ * each direction. May be changed while networks run and shared by several networks of a process.
+ *
+ * <pre>{@code
+ * LinkConditions conditions = new LinkConditions();
+ * conditions.setBoth("a", "b", Condition.delayed(Duration.ofMillis(5)));
+ * conditions.cutBoth("a", "b");
+ * }</pre>
+ */
+public final class LinkConditions {
+    private final Map<Direction, Condition> conditions = new ConcurrentHashMap<>();
+
+    private record Direction(String fromZone, String toZone) {}
+
+    /**
+     * The condition of one direction.
+     *
+     * @param delay added to each frame and datagram
+     * @param jitter upper bound of a further, evenly distributed delay
+     * @param loss share of datagrams that are dropped and of frames that are sent again after a
+     *     retransmission delay, from 0 to 1
+     * @param cut whether nothing passes
+     */
+    public record Condition(Duration delay, Duration jitter, double loss, boolean cut) {
+        /** Neither delay, loss nor cut. */
+        public static final Condition PERFECT =
+                new Condition(Duration.ZERO, Duration.ZERO, 0, false);
+
+        /** Checks the arguments. */
+        public Condition {
+            if (delay.isNegative() || jitter.isNegative()) {
+                throw new IllegalArgumentException(
+                        "delay and jitter must not be negative, were " + delay + " and " + jitter);
+            }
+            if (!(loss >= 0 && loss <= 1)) {
+                throw new IllegalArgumentException("loss must be from 0 to 1, was " + loss);
+            }
+        }
+
+        /** Returns a condition with a constant delay. */
+        public static Condition delayed(Duration delay) {
+            return new Condition(delay, Duration.ZERO, 0, false);
+        }
+
+        /** Returns this condition with another cut. */
+        Condition withCut(boolean newCut) {
+            return new Condition(delay, jitter, loss, newCut);
+        }
+    }
+
+    /** Sets the condition of one direction. Equal zones are allowed. */
+    public void set(String fromZone, String toZone, Condition condition) {
+        conditions.put(new Direction(fromZone, toZone), condition);
+    }
+
+    /** Sets the condition of both directions. */
+    public void setBoth(String zone, String otherZone, Condition condition) {
+        set(zone, otherZone, condition);
+        set(otherZone, zone, condition);
+    }
+
+    /** Lets nothing pass in one direction; delay and loss are kept for later. */
+    public void cut(String fromZone, String toZone) {
+        set(fromZone, toZone, between(fromZone, toZone).withCut(true));
+    }
+
+    /** Lets nothing pass in either direction. */
+    public void cutBoth(String zone, String otherZone) {
+        cut(zone, otherZone);
+        cut(otherZone, zone);
+    }
+
+    /** Ends the cut of one direction. */
+    public void heal(String fromZone, String toZone) {
+        set(fromZone, toZone, between(fromZone, toZone).withCut(false));
+    }
+
+    /** Ends the cut of both directions. */
+    public void healBoth(String zone, String otherZone) {
+        heal(zone, otherZone);
+        heal(otherZone, zone);
+    }
+
+    /** Returns the condition of one direction. */
+    public Condition between(String fromZone, String toZone) {
+        return conditions.getOrDefault(new Direction(fromZone, toZone), Condition.PERFECT);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/dev/zinniaring/transport/LinkContext.java
@@ -0,0 +1,76 @@
+package dev.zinniaring.transport;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.Scheduler;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What the sockets of one network share. */
+record LinkContext(
+        Hello hello,
+        MessageTypes types,
+        TrafficCounters counters,
+        Clock clock,
+        Scheduler scheduler,
+        RandomGenerator random,
+        LinkConditions conditions,
+        TransportLimits limits,
+        IoLoop loop) {
+    private static final Logger log = LoggerFactory.getLogger(LinkContext.class);
+
+    String zone() {
+        return hello.peer().zone();
+    }
+
+    LinkConditions.Condition conditionTo(String zone) {
+        return conditions.between(zone(), zone);
+    }
+
+    boolean isCutFrom(String zone) {
+        return conditions.between(zone, zone()).cut();
+    }
+
+    boolean crosses(String zone) {
+        return !zone.equals(zone());
+    }
+
+    /** Returns the delay of one frame or datagram. To be called on the loop's thread. */
+    long delayNanos(LinkConditions.Condition condition) {
+        long jitterNanos = condition.jitter().toNanos();
+        return condition.delay().toNanos() + (jitterNanos > 0 ? random.nextLong(jitterNanos) : 0);
+    }
+
+    /** Returns whether one frame or datagram is lost. To be called on the loop's thread. */
+    boolean loses(LinkConditions.Condition condition) {
+        return condition.loss() > 0 && random.nextDouble() < condition.loss();
+    }
+
+    /** Runs a task on the loop's thread after a delay. */
+    void later(long delayNanos, Runnable task) {
+        scheduler.after(Duration.ofNanos(delayNanos), () -> loop.execute(task));
+    }
+
+    /** Checks that a greeting belongs to this mesh and protocol. */
+    Optional<TransportFault> check(Hello other) {
+        if (other.protocol() != hello.protocol()) {
+            return Optional.of(TransportFault.WRONG_PROTOCOL);
+        }
+        if (!other.mesh().equals(hello.mesh())) {
+            return Optional.of(TransportFault.WRONG_MESH);
+        }
+        return Optional.empty();
+    }
+
+    /** Hands a message to its handler. A handler that throws does not harm the socket. */
+    void deliver(MessageTypes.Entry<?> entry, Peer from, Message message) {
+        try {
+            entry.deliver(from, message);
+        } catch (RuntimeException e) {
+            counters.fault(TransportFault.HANDLER_FAILED);
+            log.error("handler of {} from {} failed", entry.name(), from.nodeId(), e);
+        }
+    }
+}
