--- /dev/null
+++ b/admission/src/main/java/dev/zinniaring/admission/Fingerprints.java
@@ -0,0 +1,45 @@
+package dev.zinniaring.admission;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+
+/** Hashes of requests, equal whenever the same request is sent again. */
+public final class Fingerprints {
+    /** Bytes of the body that count, from its start. */
+    public static final int MAX_BODY_BYTES = 64 * 1024;
+
+    private static final HashFunction HASH = Hashing.murmur3_128();
+
+    private Fingerprints() {}
+
+    /** Returns the fingerprint of a request that carries an idempotency key. */
+    public static long ofKey(String route, String method, String path, String key) {
+        return start(route, method, path)
+                .putByte((byte) 'k')
+                .putString(key, StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+
+    /** Returns the fingerprint of a request by the first {@link #MAX_BODY_BYTES} of its body. */
+    public static long ofBody(String route, String method, String path, byte[] body) {
+        return start(route, method, path)
+                .putByte((byte) 'b')
+                .putBytes(body, 0, Math.min(body.length, MAX_BODY_BYTES))
+                .hash()
+                .asLong();
+    }
+
+    private static Hasher start(String route, String method, String path) {
+        // Lengths keep ("a", "bc") and ("ab", "c") apart.
+        return HASH.newHasher()
+                .putInt(route.length())
+                .putString(route, StandardCharsets.UTF_8)
+                .putInt(method.length())
+                .putString(method, StandardCharsets.UTF_8)
+                .putInt(path.length())
+                .putString(path, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/dev/zinniaring/routing/Candidates.java
@@ -0,0 +1,22 @@
+package dev.zinniaring.routing;
+
+import dev.zinniaring.model.EndpointRecord;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Steps through a list of endpoints. */
+final class Candidates {
+    private Candidates() {}
+
+    static Optional<EndpointRecord> firstAllowed(
+            List<EndpointRecord> endpoints, int from, Set<String> excludedServerIds) {
+        for (int step = 0; step < endpoints.size(); step++) {
+            EndpointRecord endpoint = endpoints.get((from + step) % endpoints.size());
+            if (!excludedServerIds.contains(endpoint.serverId())) {
+                return Optional.of(endpoint);
+            }
+        }
+        return Optional.empty();
+    }
+}
