--- /dev/null
+++ b/admission/src/main/java/dev/zinniaring/admission/ServiceTimes.java
@@ -0,0 +1,66 @@
+package dev.zinniaring.admission;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Measures how long the backend server takes for the calls of each rank. */
+final class ServiceTimes {
+    private static final long HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long UNKNOWN_MEAN_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final int MAX_HALVINGS = 30;
+    private static final int SMOOTHING = 8;
+
+    private final AtomicLongArray meanNanos;
+    private final AtomicLongArray sampledAtNanos;
+    private final LongAdder[] chargedNanos;
+
+    ServiceTimes(int ranks) {
+        this.meanNanos = new AtomicLongArray(ranks);
+        this.sampledAtNanos = new AtomicLongArray(ranks);
+        this.chargedNanos = new LongAdder[ranks];
+        for (int rank = 0; rank < ranks; rank++) {
+            chargedNanos[rank] = new LongAdder();
+        }
+    }
+
+    /** Adds slot time that calls of the rank use; negative to correct an earlier estimate. */
+    void charge(int rank, long nanos) {
+        chargedNanos[rank].add(nanos);
+    }
+
+    /** Takes a sample of the time of a call that ran to its end. */
+    void sample(int rank, long nanos, long nowNanos) {
+        sampledAtNanos.set(rank, nowNanos);
+        long before = meanNanos.get(rank);
+        while (true) {
+            long after = before == 0 ? nanos : before + (nanos - before) / SMOOTHING;
+            if (meanNanos.compareAndSet(rank, before, after)) {
+                return;
+            }
+            before = meanNanos.get(rank);
+        }
+    }
+
+    /** Returns all slot time charged to the rank. */
+    long chargedNanos(int rank) {
+        return chargedNanos[rank].sum();
+    }
+
+    /**
+     * Returns the expected time of a call, 0 if nothing is known. An estimate without new samples
+     * halves each second: otherwise one that is too high would shed the very calls that could
+     * correct it.
+     */
+    long expectedNanos(int rank, long nowNanos) {
+        long idleNanos = Math.max(0, nowNanos - sampledAtNanos.get(rank));
+        long halvings = Math.min(MAX_HALVINGS, idleNanos / HALF_LIFE_NANOS);
+        return meanNanos.get(rank) >> halvings;
+    }
+
+    /** Returns the mean time of a call of the rank, above 0 even if nothing is known. */
+    long meanNanos(int rank) {
+        long measured = meanNanos.get(rank);
+        return measured == 0 ? UNKNOWN_MEAN_NANOS : measured;
+    }
+}
--- a/admission/src/main/java/dev/zinniaring/admission/StoredAnswer.java
+++ b/admission/src/main/java/dev/zinniaring/admission/StoredAnswer.java
@@ -3,17 +3,38 @@
 import java.util.List;
 import java.util.Map;
 
-/**
- * A small answer kept for callers that send a key again.
- *
- * @param status HTTP status
- * @param headers header values by name
- * @param body the whole body; not to be changed
- */
-public record StoredAnswer(int status, Map<String, List<String>> headers, byte[] body) {
-    /** Copies the headers. */
-    public StoredAnswer {
-        headers = Map.copyOf(headers);
+/** A small answer kept for callers that send a key again. Immutable. */
+public final class StoredAnswer {
+    private final int status;
+    private final Map<String, List<String>> headers;
+    private final byte[] body;
+
+    /**
+     * Creates an answer.
+     *
+     * @param status HTTP status
+     * @param headers header values by name
+     * @param body the whole body
+     */
+    public StoredAnswer(int status, Map<String, List<String>> headers, byte[] body) {
+        this.status = status;
+        this.headers = Map.copyOf(headers);
+        this.body = body.clone();
+    }
+
+    /** Returns the HTTP status. */
+    public int status() {
+        return status;
+    }
+
+    /** Returns the header values by name. */
+    public Map<String, List<String>> headers() {
+        return headers;
+    }
+
+    /** Returns a copy of the body. */
+    public byte[] body() {
+        return body.clone();
     }
 
     /** Returns about how many bytes this answer occupies. */
