Add GossipMembership

Cause: Nodes must know who is alive, and gateways and neighbours follow from that list.

List digests go to one neighbour a second and between gateways of zones; only members in buckets that differ travel. A member has a life besides its incarnation, so that a restarted process is told from its earlier life.

--- /dev/null
+++ b/membership/src/main/java/dev/zinniaring/membership/Choices.java
@@ -0,0 +1,58 @@
+package dev.zinniaring.membership;
+
+import dev.zinniaring.transport.Peer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Choices that every node makes alike from the same list of live members, by hashing ids. */
+final class Choices {
+    private static final int GATEWAYS = 2;
+    private static final int EXTRA_NEIGHBOURS = 3;
+
+    private Choices() {}
+
+    /** Returns the gateways of a zone, first choice first, by rendezvous hash. */
+    static List<Member> gateways(String zone, List<Member> live) {
+        return highest("gateway/" + zone, live, GATEWAYS);
+    }
+
+    /**
+     * Returns the neighbours of a node: its successor on the hash ring, which keeps the graph
+     * connected, and the highest others by rendezvous hash.
+     */
+    static List<Peer> neighbours(Member self, List<Member> live) {
+        List<Member> others = new ArrayList<>(live);
+        others.removeIf(member -> member.nodeId().equals(self.nodeId()));
+        List<Peer> neighbours = new ArrayList<>();
+        successor(self, others).ifPresent(next -> neighbours.add(next.peer()));
+        others.removeIf(member -> neighbours.contains(member.peer()));
+        highest("neighbour/" + self.nodeId(), others, EXTRA_NEIGHBOURS)
+                .forEach(member -> neighbours.add(member.peer()));
+        return List.copyOf(neighbours);
+    }
+
+    private static Optional<Member> successor(Member self, List<Member> others) {
+        long own = MemberHashes.hash(self.nodeId());
+        Comparator<Member> clockwise =
+                (a, b) ->
+                        Long.compareUnsigned(
+                                MemberHashes.hash(a.nodeId()) - own,
+                                MemberHashes.hash(b.nodeId()) - own);
+        return others.stream().min(clockwise.thenComparing(Member::nodeId));
+    }
+
+    private static List<Member> highest(String key, List<Member> live, int count) {
+        record Scored(long score, Member member) {}
+        return live.stream()
+                .map(m -> new Scored(MemberHashes.hash(key + "/" + m.nodeId()), m))
+                .sorted(
+                        Comparator.comparingLong(Scored::score)
+                                .reversed()
+                                .thenComparing(scored -> scored.member().nodeId()))
+                .limit(count)
+                .map(Scored::member)
+                .toList();
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/dev/zinniaring/membership/Core.java
@@ -0,0 +1,201 @@
+package dev.zinniaring.membership;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.transport.Network;
+import dev.zinniaring.transport.Peer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the parts of the protocol share: the table, what is to be spread, and this node's own entry.
+ * Guarded by the lock of {@link GossipMembership}.
+ */
+final class Core {
+    private static final Logger log = LoggerFactory.getLogger(Core.class);
+
+    final Network network;
+    final Clock clock;
+    final RandomGenerator random;
+    final GossipTimings timings;
+    final MemberTable table;
+    final Piggyback piggyback = new Piggyback();
+    final LocalHealth health = new LocalHealth();
+    final Suspicions suspicions;
+    private Member self;
+    private ViewSnapshot view;
+    private final Map<String, Member> zoneChanges = new HashMap<>();
+    private boolean changed;
+    private long refutations;
+    private long laterLivesOfSelf;
+
+    Core(Network network, Clock clock, RandomGenerator random, GossipTimings timings) {
+        this.network = network;
+        this.clock = clock;
+        this.random = random;
+        this.timings = timings;
+        this.table = new MemberTable(timings.memory());
+        this.suspicions = new Suspicions(timings.suspicion());
+        this.self = new Member(network.self(), network.incarnation(), MemberState.ALIVE);
+        table.merge(self, now());
+        this.view = ViewSnapshot.of(self, table.all());
+    }
+
+    Member self() {
+        return self;
+    }
+
+    Messages.Sender sender() {
+        return new Messages.Sender(self.life(), self.incarnation());
+    }
+
+    ViewSnapshot view() {
+        return view;
+    }
+
+    long now() {
+        return clock.nanos();
+    }
+
+    boolean isLeaving() {
+        return self.state() == MemberState.LEFT;
+    }
+
+    long refutations() {
+        return refutations;
+    }
+
+    long laterLivesOfSelf() {
+        return laterLivesOfSelf;
+    }
+
+    /** Takes a view of a member, from whomever; spreads it if it is news. */
+    void merge(Member update) {
+        if (update.nodeId().equals(self.nodeId())) {
+            mergeSelf(update);
+            return;
+        }
+        if (!table.merge(update, now())) {
+            return;
+        }
+        changed = true;
+        piggyback.add(update);
+        if (update.zone().equals(self.zone())) {
+            suspicions.changed(update, view.zoneSize(), health, now());
+            noteZoneChange(update);
+        }
+    }
+
+    void mergeAll(List<Member> updates) {
+        updates.forEach(this::merge);
+    }
+
+    /**
+     * Takes the members of a zone as another zone knows them. A member of our own zone that we do
+     * not know is put under suspicion, because only its own zone can tell whether it lives.
+     */
+    void mergeFrom(Peer from, List<Member> updates) {
+        boolean foreign = !from.zone().equals(self.zone());
+        for (Member update : updates) {
+            boolean ours = update.zone().equals(self.zone());
+            boolean unknown = table.get(update.nodeId()) == null;
+            boolean claimed = foreign && ours && unknown && update.live();
+            merge(claimed ? update.with(MemberState.SUSPECT) : update);
+        }
+    }
+
+    /** Takes the sender of a message as alive. */
+    void heard(Peer from, Messages.Sender sender) {
+        if (!from.nodeId().equals(self.nodeId())) {
+            merge(sender.as(from));
+        }
+    }
+
+    /** Changes what is believed of a member, on this node's own account. */
+    void declare(Member member, MemberState state) {
+        Member known = table.get(member.nodeId());
+        if (known != null && known.equals(member)) {
+            merge(member.with(state));
+        }
+    }
+
+    void leave() {
+        replaceSelf(self.with(MemberState.LEFT));
+    }
+
+    /**
+     * Returns the updates for a datagram to a peer. If others doubt the peer, that comes first, so
+     * that it can refute.
+     */
+    List<Member> updatesFor(String nodeId) {
+        List<Member> updates = new ArrayList<>();
+        Member known = table.get(nodeId);
+        if (known != null && known.state() != MemberState.ALIVE) {
+            updates.add(known);
+        }
+        for (Member update : piggyback.take(view.zoneSize())) {
+            if (!update.nodeId().equals(nodeId)) {
+                updates.add(update);
+            }
+        }
+        return updates;
+    }
+
+    /** Returns and forgets what changed in this zone and concerns the others. */
+    List<Member> takeZoneChanges() {
+        List<Member> changes = List.copyOf(zoneChanges.values());
+        zoneChanges.clear();
+        return changes;
+    }
+
+    /** Returns a new view if anything changed since the last call. */
+    @Nullable ViewSnapshot refresh() {
+        if (!changed) {
+            return null;
+        }
+        changed = false;
+        view = ViewSnapshot.of(self, table.all());
+        return view;
+    }
+
+    private void mergeSelf(Member update) {
+        if (update.life() > self.life()) {
+            laterLivesOfSelf++;
+            if (laterLivesOfSelf == 1) {
+                log.warn(
+                        "another process runs as {} with the later life {}; this one is {}",
+                        self.nodeId(),
+                        update.life(),
+                        self.life());
+            }
+            return;
+        }
+        boolean doubted = update.state() != MemberState.ALIVE;
+        boolean current = update.sameLife(self) && update.incarnation() >= self.incarnation();
+        if (doubted && current && !isLeaving()) {
+            refutations++;
+            health.worse();
+            replaceSelf(self.refuting(update.incarnation()));
+        }
+    }
+
+    private void replaceSelf(Member newSelf) {
+        self = newSelf;
+        table.merge(self, now());
+        piggyback.add(self);
+        noteZoneChange(self);
+        changed = true;
+    }
+
+    /** Suspicions stay in the zone: they end in a refutation or a death, which both travel. */
+    private void noteZoneChange(Member member) {
+        if (member.state() != MemberState.SUSPECT) {
+            zoneChanges.put(member.nodeId(), member);
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/dev/zinniaring/membership/Messages.java
@@ -0,0 +1,248 @@
+package dev.zinniaring.membership;
+
+import dev.zinniaring.transport.Fields;
+import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
+import dev.zinniaring.transport.MessageCodec.Overflow;
+import dev.zinniaring.transport.Peer;
+import java.io.IOException;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The messages of the membership protocol. Types 1 to 10 on the wire are reserved for them. */
+final class Messages {
+    private static final int MAX_ZONES = 256;
+
+    private Messages() {}
+
+    /** The life and incarnation of a message's sender, which is alive. */
+    record Sender(long life, long incarnation) {
+        Member as(Peer from) {
+            return new Member(from, incarnation, MemberState.ALIVE, life);
+        }
+
+        private void write(MessagePacker out) throws IOException {
+            out.packLong(life);
+            out.packLong(incarnation - life);
+        }
+
+        private static Sender read(MessageUnpacker in) throws IOException {
+            long life = in.unpackLong();
+            return new Sender(life, life + in.unpackLong());
+        }
+    }
+
+    /** Asks one life of a node for an {@link Ack}. */
+    record Ping(long number, String targetId, Sender sender, List<Member> updates)
+            implements Message {
+        static final MessageCodec<Ping> CODEC =
+                MessageCodec.of(1, Ping.class, Overflow.DROP_OLDEST, Ping::write, Ping::read);
+
+        private static void write(Ping ping, MessagePacker out) throws IOException {
+            out.packLong(ping.number);
+            out.packString(ping.targetId);
+            ping.sender.write(out);
+            MemberFields.writeAll(out, ping.updates);
+        }
+
+        private static Ping read(MessageUnpacker in) throws IOException {
+            return new Ping(
+                    in.unpackLong(), Fields.name(in), Sender.read(in), MemberFields.readAll(in));
+        }
+    }
+
+    /** Asks a helper to ping a target. */
+    record PingRequest(long number, Peer target, Sender sender, List<Member> updates)
+            implements Message {
+        static final MessageCodec<PingRequest> CODEC =
+                MessageCodec.of(
+                        2,
+                        PingRequest.class,
+                        Overflow.DROP_OLDEST,
+                        PingRequest::write,
+                        PingRequest::read);
+
+        private static void write(PingRequest request, MessagePacker out) throws IOException {
+            out.packLong(request.number);
+            Fields.peer(out, request.target);
+            request.sender.write(out);
+            MemberFields.writeAll(out, request.updates);
+        }
+
+        private static PingRequest read(MessageUnpacker in) throws IOException {
+            return new PingRequest(
+                    in.unpackLong(), Fields.peer(in), Sender.read(in), MemberFields.readAll(in));
+        }
+    }
+
+    /**
+     * Answers a ping.
+     *
+     * @param answererId the node that answered, which is not the sender of a forwarded answer
+     * @param answererLife its life; 0 if this only tells that a helper has begun
+     */
+    record Ack(
+            long number, String answererId, long answererLife, Sender sender, List<Member> updates)
+            implements Message {
+        static final long HELPING = 0;
+
+        static final MessageCodec<Ack> CODEC =
+                MessageCodec.of(3, Ack.class, Overflow.DROP_OLDEST, Ack::write, Ack::read);
+
+        private static void write(Ack ack, MessagePacker out) throws IOException {
+            out.packLong(ack.number);
+            out.packString(ack.answererId);
+            out.packLong(ack.answererLife);
+            ack.sender.write(out);
+            MemberFields.writeAll(out, ack.updates);
+        }
+
+        private static Ack read(MessageUnpacker in) throws IOException {
+            return new Ack(
+                    in.unpackLong(),
+                    Fields.name(in),
+                    in.unpackLong(),
+                    Sender.read(in),
+                    MemberFields.readAll(in));
+        }
+    }
+
+    /** Spreads updates between probes. */
+    record MemberUpdate(Sender sender, List<Member> updates) implements Message {
+        static final MessageCodec<MemberUpdate> CODEC =
+                MessageCodec.of(
+                        4,
+                        MemberUpdate.class,
+                        Overflow.DROP_OLDEST,
+                        (update, out) -> {
+                            update.sender.write(out);
+                            MemberFields.writeAll(out, update.updates);
+                        },
+                        in -> new MemberUpdate(Sender.read(in), MemberFields.readAll(in)));
+    }
+
+    /** Asks a seed to take this node in and to tell it of all members. */
+    record Join(Sender sender) implements Message {
+        static final MessageCodec<Join> CODEC =
+                MessageCodec.of(
+                        5,
+                        Join.class,
+                        Overflow.DROP_OLDEST,
+                        (join, out) -> join.sender.write(out),
+                        in -> new Join(Sender.read(in)));
+    }
+
+    /** A part of the member list for a node that joins; the last part completes the join. */
+    record JoinReply(Sender sender, boolean last, List<Member> members) implements Message {
+        static final MessageCodec<JoinReply> CODEC =
+                MessageCodec.of(
+                        6,
+                        JoinReply.class,
+                        Overflow.DROP_OLDEST,
+                        (reply, out) -> {
+                            reply.sender.write(out);
+                            out.packBoolean(reply.last);
+                            MemberFields.writeAll(out, reply.members);
+                        },
+                        in ->
+                                new JoinReply(
+                                        Sender.read(in),
+                                        in.unpackBoolean(),
+                                        MemberFields.readAll(in)));
+    }
+
+    /** Tells that the sender leaves. */
+    record Leave(Sender sender) implements Message {
+        static final MessageCodec<Leave> CODEC =
+                MessageCodec.of(
+                        7,
+                        Leave.class,
+                        Overflow.DROP_OLDEST,
+                        (leave, out) -> leave.sender.write(out),
+                        in -> new Leave(Sender.read(in)));
+    }
+
+    /** The hash of the live members of each availability zone. */
+    record MemberDigest(Sender sender, SortedMap<String, Long> zoneHashes) implements Message {
+        static final MessageCodec<MemberDigest> CODEC =
+                MessageCodec.of(
+                        8,
+                        MemberDigest.class,
+                        Overflow.DROP_OLDEST,
+                        MemberDigest::write,
+                        MemberDigest::read);
+
+        private static void write(MemberDigest digest, MessagePacker out) throws IOException {
+            digest.sender.write(out);
+            out.packArrayHeader(digest.zoneHashes.size());
+            for (var zone : digest.zoneHashes.entrySet()) {
+                out.packString(zone.getKey());
+                out.packLong(zone.getValue());
+            }
+        }
+
+        private static MemberDigest read(MessageUnpacker in) throws IOException {
+            Sender sender = Sender.read(in);
+            int zones = Fields.count(in, MAX_ZONES);
+            SortedMap<String, Long> hashes = new TreeMap<>();
+            for (int i = 0; i < zones; i++) {
+                hashes.put(Fields.name(in), in.unpackLong());
+            }
+            return new MemberDigest(sender, hashes);
+        }
+    }
+
+    /** The hashes of the buckets of one zone's live members, after a digest that differed. */
+    record MemberBuckets(String zone, List<Long> hashes) implements Message {
+        static final MessageCodec<MemberBuckets> CODEC =
+                MessageCodec.of(
+                        9,
+                        MemberBuckets.class,
+                        Overflow.DROP_OLDEST,
+                        MemberBuckets::write,
+                        MemberBuckets::read);
+
+        private static void write(MemberBuckets buckets, MessagePacker out) throws IOException {
+            out.packString(buckets.zone);
+            for (long hash : buckets.hashes) {
+                out.packLong(hash);
+            }
+        }
+
+        private static MemberBuckets read(MessageUnpacker in) throws IOException {
+            String zone = Fields.name(in);
+            Long[] hashes = new Long[MemberHashes.BUCKETS];
+            for (int i = 0; i < hashes.length; i++) {
+                hashes[i] = in.unpackLong();
+            }
+            return new MemberBuckets(zone, List.of(hashes));
+        }
+    }
+
+    /**
+     * Members of one zone in buckets that differ.
+     *
+     * @param askedBuckets bit mask of the buckets that the receiver is asked to answer with what it
+     *     has newer; 0 in the answer
+     */
+    record MemberEntries(String zone, long askedBuckets, List<Member> members) implements Message {
+        static final MessageCodec<MemberEntries> CODEC =
+                MessageCodec.of(
+                        10,
+                        MemberEntries.class,
+                        Overflow.DROP_OLDEST,
+                        (entries, out) -> {
+                            out.packString(entries.zone);
+                            out.packLong(entries.askedBuckets);
+                            MemberFields.writeAll(out, entries.members);
+                        },
+                        in ->
+                                new MemberEntries(
+                                        Fields.name(in),
+                                        in.unpackLong(),
+                                        MemberFields.readAll(in)));
+    }
+}
--- a/transport/src/main/java/dev/zinniaring/transport/MessageCodec.java
+++ b/transport/src/main/java/dev/zinniaring/transport/MessageCodec.java
@@ -27,6 +27,38 @@
         return Overflow.FAIL_LINK;
     }
 
+    /**
+     * Returns a codec made of two functions.
+     *
+     * <pre>{@code
+     * MessageCodec.of(20, VersionPull.class, Overflow.FAIL_LINK,
+     *         (pull, out) -> out.packLong(pull.number()),
+     *         in -> new VersionPull(in.unpackLong()));
+     * }</pre>
+     */
+    static <M extends Message> MessageCodec<M> of(
+            int type,
+            Class<M> messageClass,
+            Overflow overflow,
+            Writer<M> writer,
+            Reader<M> reader) {
+        return new FunctionCodec<>(type, messageClass, overflow, writer, reader);
+    }
+
+    /** Writes the fields of a message. */
+    @FunctionalInterface
+    interface Writer<M> {
+        /** Writes the fields. */
+        void write(M message, MessagePacker out) throws IOException;
+    }
+
+    /** Reads the fields of a message. */
+    @FunctionalInterface
+    interface Reader<M> {
+        /** Reads the fields. */
+        M read(MessageUnpacker in) throws IOException;
+    }
+
     /** What happens to a message when the send queue of a link is full. */
     enum Overflow {
         /** The oldest queued message of this policy is dropped; repair brings its content later. */
