--- a/admission/src/main/java/dev/zinniaring/admission/AdmissionController.java
+++ b/admission/src/main/java/dev/zinniaring/admission/AdmissionController.java
@@ -10,13 +10,19 @@
  * }</pre>
  */
 public interface AdmissionController {
+    /** The pressure while every rank is admitted. */
+    int NO_PRESSURE = Integer.MAX_VALUE;
+
     /**
      * Asks for the admission of a call. The callback is called exactly once, often before this
      * method returns.
      */
     Ticket admit(CallInfo call, AdmissionCallback callback);
 
-    /** Returns the order of the least urgent rank that is still admitted. */
+    /**
+     * Returns the order of the least urgent rank of which no call was shed for load lately, or
+     * {@link #NO_PRESSURE} if that holds for every rank.
+     */
     int pressure();
 
     /**
--- a/admission/src/main/java/dev/zinniaring/admission/FifoAdmission.java
+++ b/admission/src/main/java/dev/zinniaring/admission/FifoAdmission.java
@@ -59,7 +59,7 @@
 
     @Override
     public int pressure() {
-        return Integer.MAX_VALUE;
+        return NO_PRESSURE;
     }
 
     @Override
--- a/admission/src/main/java/dev/zinniaring/admission/KeyAnswer.java
+++ b/admission/src/main/java/dev/zinniaring/admission/KeyAnswer.java
@@ -6,13 +6,15 @@
  * What the memory knows of an idempotency key.
  *
  * @param state state of the key
+ * @param run names the run that began, in state {@link State#NEW}, and is passed back when it ends;
+ *     otherwise 0
  * @param answer the answer of the earlier run, present only in state {@link State#DONE} and if it
  *     was small enough to keep
  */
-public record KeyAnswer(State state, Optional<StoredAnswer> answer) {
+public record KeyAnswer(State state, long run, Optional<StoredAnswer> answer) {
     /** States of a key. */
     public enum State {
-        /** The key was not seen; the call runs now and must be finished. */
+        /** The key was not seen; the call runs now and its end must be reported. */
         NEW,
         /** A call with the key is running. */
         RUNNING,
@@ -26,8 +28,7 @@
         FULL
     }
 
-    /** Returns an answer without a stored answer. */
-    public static KeyAnswer of(State state) {
-        return new KeyAnswer(state, Optional.empty());
+    static KeyAnswer of(State state) {
+        return new KeyAnswer(state, 0, Optional.empty());
     }
 }
--- a/admission/src/main/java/dev/zinniaring/admission/ShedHistory.java
+++ b/admission/src/main/java/dev/zinniaring/admission/ShedHistory.java
@@ -22,11 +22,12 @@
         lastShedNanos.set(rank, nowNanos);
     }
 
-    /** Returns the order of the least urgent rank without a recent shed call. */
+    /** Returns the order of the least urgent rank without a recently shed call. */
     int pressure(long nowNanos) {
-        for (int rank = ranks.size() - 1; rank > 0; rank--) {
+        int leastUrgent = ranks.size() - 1;
+        for (int rank = leastUrgent; rank > 0; rank--) {
             if (nowNanos - lastShedNanos.get(rank) > MEMORY_NANOS) {
-                return ranks.order(rank);
+                return rank == leastUrgent ? AdmissionController.NO_PRESSURE : ranks.order(rank);
             }
         }
         return ranks.order(0);
--- a/admission/src/main/java/dev/zinniaring/admission/UnlimitedAdmission.java
+++ b/admission/src/main/java/dev/zinniaring/admission/UnlimitedAdmission.java
@@ -32,7 +32,7 @@
 
     @Override
     public int pressure() {
-        return Integer.MAX_VALUE;
+        return NO_PRESSURE;
     }
 
     @Override
