--- /dev/null
+++ b/admission/src/test/java/dev/zinniaring/admission/Latencies.java
@@ -0,0 +1,19 @@
+package dev.zinniaring.admission;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/** Collects latencies for exact quantiles. */
+final class Latencies {
+    private final List<Long> nanos = new ArrayList<>();
+
+    void add(long latencyNanos) {
+        nanos.add(latencyNanos);
+    }
+
+    double millisAt(double quantile) {
+        Collections.sort(nanos);
+        return nanos.get((int) (quantile * (nanos.size() - 1))) / 1e6;
+    }
+}
--- a/routing/src/main/java/dev/zinniaring/routing/LeastLoadedBalancer.java
+++ b/routing/src/main/java/dev/zinniaring/routing/LeastLoadedBalancer.java
@@ -2,21 +2,40 @@
 
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.EndpointRecord;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 
-/** Chooses the less loaded of two random candidates. */
+/**
+ * Chooses the less loaded of two random candidates, in the own availability zone first. One for
+ * each pool.
+ *
+ * <p>The load of a server is what this node has outstanding there plus what others have by the last
+ * report, which counts less the older it is, divided by the server's limit. A server that warms up
+ * becomes a candidate with a probability that grows to 1, and one on probation gets one call at a
+ * time. Other zones are considered with a probability that grows smoothly from 0 when the own
+ * zone's servers are used above 70 %.
+ */
 public final class LeastLoadedBalancer implements Balancer {
+    private static final int DRAWS = 8;
+    private static final double LEAST_WARMTH = 0.1;
+
+    private final Clock clock;
     private final RandomGenerator random;
-    private final ConcurrentMap<String, AtomicInteger> outstanding = new ConcurrentHashMap<>();
+    private final Outliers outliers;
+    private final OutlierDetector detector;
+    private final ConcurrentMap<String, ServerStats> servers = new ConcurrentHashMap<>();
 
     private LeastLoadedBalancer(Builder builder) {
+        this.clock = builder.clock;
         this.random = builder.random;
+        this.outliers = new Outliers(builder.clock, builder.avoid, builder.eject);
+        this.detector = new OutlierDetector(builder.clock, outliers);
     }
 
     /** Returns a builder. */
@@ -27,53 +46,176 @@
     @Override
     public Optional<EndpointRecord> choose(
             PoolEndpoints pool, Set<String> excludedServerIds, String ownZone) {
-        List<EndpointRecord> endpoints = pool.endpoints();
-        if (endpoints.isEmpty()) {
-            return Optional.empty();
+        long nowNanos = clock.nanos();
+        detector.pool(pool);
+        List<EndpointRecord> own = pool.endpointsIn(ownZone);
+        EndpointRecord chosen = null;
+        if (!own.isEmpty() && !spills(own, nowNanos)) {
+            chosen = lessLoaded(own, excludedServerIds, nowNanos);
         }
-        Optional<EndpointRecord> first = pick(endpoints, excludedServerIds);
-        Optional<EndpointRecord> second = pick(endpoints, excludedServerIds);
-        if (first.isEmpty() || second.isEmpty()) {
-            return first;
+        if (chosen == null) {
+            chosen = lessLoaded(pool.endpoints(), excludedServerIds, nowNanos);
+        }
+        if (chosen == null) {
+            chosen = anyFit(pool.endpoints(), excludedServerIds);
         }
-        return load(first.get()) <= load(second.get()) ? first : second;
+        return chosen == null
+                ? lastResort(pool.endpoints(), excludedServerIds)
+                : Optional.of(chosen);
     }
 
     @Override
     public void started(String serverId) {
-        outstanding.computeIfAbsent(serverId, id -> new AtomicInteger()).incrementAndGet();
+        stats(serverId).started();
     }
 
     @Override
     public void finished(String serverId, CallResult result) {
-        AtomicInteger count = outstanding.get(serverId);
-        if (count != null) {
-            count.decrementAndGet();
+        ServerStats stats = stats(serverId);
+        long nowNanos = clock.nanos();
+        stats.finished();
+        ReportedLoad load = result.load();
+        if (load != null) {
+            stats.reported(load, nowNanos);
         }
+        detector.finished(serverId, stats, result, servers);
     }
 
     @Override
     public void retain(Set<String> serverIds) {
-        outstanding.keySet().retainAll(serverIds);
+        servers.keySet().retainAll(serverIds);
+        outliers.retain(serverIds);
+        serverIds.forEach(this::stats);
+    }
+
+    /** Returns what a server may get at present. */
+    public Outliers.Standing standing(String serverId) {
+        return outliers.standing(serverId);
+    }
+
+    private boolean spills(List<EndpointRecord> own, long nowNanos) {
+        double probability = Spill.probability(utilisation(own, nowNanos));
+        return probability > 0 && random.nextDouble() < probability;
+    }
+
+    /** Returns the mean utilisation, of a random sample if there are many servers. */
+    private double utilisation(List<EndpointRecord> endpoints, long nowNanos) {
+        int count = Math.min(DRAWS, endpoints.size());
+        int from = count == endpoints.size() ? 0 : random.nextInt(endpoints.size());
+        double sum = 0;
+        for (int step = 0; step < count; step++) {
+            sum += utilisation(endpoints.get((from + step) % endpoints.size()), nowNanos);
+        }
+        return sum / count;
+    }
+
+    private double utilisation(EndpointRecord endpoint, long nowNanos) {
+        ServerStats stats = stats(endpoint.serverId());
+        return stats.load(nowNanos) / stats.capacity(endpoint.slots());
+    }
+
+    private @Nullable EndpointRecord lessLoaded(
+            List<EndpointRecord> endpoints, Set<String> excluded, long nowNanos) {
+        EndpointRecord first = draw(endpoints, excluded, null, nowNanos);
+        if (first == null || endpoints.size() == 1) {
+            return first;
+        }
+        EndpointRecord second = draw(endpoints, excluded, first, nowNanos);
+        if (second == null) {
+            return first;
+        }
+        return score(first, nowNanos) <= score(second, nowNanos) ? first : second;
+    }
+
+    /** Returns the load that a server would have with this call. */
+    private double score(EndpointRecord endpoint, long nowNanos) {
+        ServerStats stats = stats(endpoint.serverId());
+        return (stats.load(nowNanos) + 1) / stats.capacity(endpoint.slots());
+    }
+
+    private @Nullable EndpointRecord draw(
+            List<EndpointRecord> endpoints,
+            Set<String> excluded,
+            @Nullable EndpointRecord other,
+            long nowNanos) {
+        if (endpoints.isEmpty()) {
+            return null;
+        }
+        for (int attempt = 0; attempt < DRAWS; attempt++) {
+            EndpointRecord endpoint = endpoints.get(random.nextInt(endpoints.size()));
+            if (!same(endpoint, other)
+                    && !excluded.contains(endpoint.serverId())
+                    && accepts(endpoint, nowNanos)) {
+                return endpoint;
+            }
+        }
+        return null;
+    }
+
+    private static boolean same(EndpointRecord endpoint, @Nullable EndpointRecord other) {
+        return other != null && endpoint.serverId().equals(other.serverId());
+    }
+
+    private boolean accepts(EndpointRecord endpoint, long nowNanos) {
+        if (!fit(endpoint)) {
+            return false;
+        }
+        double warmth =
+                stats(endpoint.serverId()).warmth(endpoint.warmUpMillis(), LEAST_WARMTH, nowNanos);
+        return warmth >= 1 || random.nextDouble() < warmth;
+    }
+
+    private boolean fit(EndpointRecord endpoint) {
+        if (outliers.none()) {
+            return true;
+        }
+        String serverId = endpoint.serverId();
+        return switch (outliers.standing(serverId)) {
+            case GOOD -> true;
+            case PROBATION -> stats(serverId).outstanding() == 0;
+            case OUT -> false;
+        };
+    }
+
+    /** Returns a server in good standing by trying each: random draws may miss the few left. */
+    private @Nullable EndpointRecord anyFit(List<EndpointRecord> endpoints, Set<String> excluded) {
+        int from = endpoints.isEmpty() ? 0 : random.nextInt(endpoints.size());
+        for (int step = 0; step < endpoints.size(); step++) {
+            EndpointRecord endpoint = endpoints.get((from + step) % endpoints.size());
+            if (!excluded.contains(endpoint.serverId()) && fit(endpoint)) {
+                return endpoint;
+            }
+        }
+        return null;
     }
 
-    private Optional<EndpointRecord> pick(List<EndpointRecord> endpoints, Set<String> excluded) {
+    /** Returns any server not excluded: with none in good standing, one that is out may do. */
+    private Optional<EndpointRecord> lastResort(
+            List<EndpointRecord> endpoints, Set<String> excluded) {
+        if (endpoints.isEmpty()) {
+            return Optional.empty();
+        }
         return Candidates.firstAllowed(endpoints, random.nextInt(endpoints.size()), excluded);
     }
 
-    private double load(EndpointRecord endpoint) {
-        AtomicInteger count = outstanding.get(endpoint.serverId());
-        return count == null ? 0 : (double) count.get() / endpoint.slots();
+    private ServerStats stats(String serverId) {
+        ServerStats stats = servers.get(serverId);
+        if (stats != null) {
+            return stats;
+        }
+        return servers.computeIfAbsent(serverId, id -> new ServerStats(clock.nanos()));
     }
 
     /** Sets up a {@link LeastLoadedBalancer}. */
     public static final class Builder {
         private Clock clock = Clock.system();
         private RandomGenerator random = RandomGenerator.getDefault();
+        private Duration avoid = Duration.ofSeconds(1);
+        private Duration eject = Duration.ofSeconds(3);
 
         private Builder() {}
 
-        /** Sets the clock. */
+        /** Sets the clock; the system's by default. */
         public Builder clock(Clock value) {
             this.clock = value;
             return this;
@@ -85,6 +227,18 @@
             return this;
         }
 
+        /** Sets how long a server is avoided after a connect failure; 1 s by default. */
+        public Builder avoid(Duration value) {
+            this.avoid = value;
+            return this;
+        }
+
+        /** Sets how long a server is ejected the first time; 3 s by default. */
+        public Builder eject(Duration value) {
+            this.eject = value;
+            return this;
+        }
+
         /** Returns the balancer. */
         public LeastLoadedBalancer build() {
             return new LeastLoadedBalancer(this);
