Bring versions and endpoint records to every node

Cause: Nodes had only the interfaces Versions and Endpoints, without anything behind them. Change: VersionDistribution polls the head on readers, gets a version recorded by a majority of seeds and pushes deltas; starting nodes ask seeds for their floor. EndpointDistribution spreads one-writer records in batches and repairs by digests.

--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointDigest.java
@@ -0,0 +1,69 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.transport.Message;
+import java.io.IOException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * A hash of all endpoint records that a node holds. A receiver whose hash differs answers with the
+ * hashes of the buckets.
+ *
+ * @param summary hash of all bucket hashes
+ * @param buckets hash of each bucket, or empty in a first digest
+ */
+record EndpointDigest(long summary, long[] buckets) implements Message {
+    // Odd, so that no bit of a bucket is lost.
+    private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
+
+    static final Wire.Codec<EndpointDigest> CODEC =
+            Wire.repairable(52, EndpointDigest.class, EndpointDigest::write, EndpointDigest::read);
+
+    /** Returns the hash of all bucket hashes. */
+    static long summary(long[] buckets) {
+        long summary = 0;
+        for (long bucket : buckets) {
+            summary = summary * MULTIPLIER + bucket;
+        }
+        return summary;
+    }
+
+    static EndpointDigest summaryOf(long[] buckets) {
+        return new EndpointDigest(summary(buckets), new long[0]);
+    }
+
+    static EndpointDigest of(long[] buckets) {
+        return new EndpointDigest(summary(buckets), buckets);
+    }
+
+    /** Returns the bit set of the buckets that differ. */
+    long differing(long[] own) {
+        long differing = 0;
+        for (int i = 0; i < own.length; i++) {
+            if (own[i] != buckets[i]) {
+                differing |= 1L << i;
+            }
+        }
+        return differing;
+    }
+
+    private static void write(EndpointDigest message, MessagePacker out) throws IOException {
+        out.packLong(message.summary).packArrayHeader(message.buckets.length);
+        for (long bucket : message.buckets) {
+            out.packLong(bucket);
+        }
+    }
+
+    private static EndpointDigest read(MessageUnpacker in) throws IOException {
+        long summary = in.unpackLong();
+        int count = in.unpackArrayHeader();
+        if (count != 0 && count != EndpointStore.BUCKETS) {
+            throw new IOException("digest must have 0 or 64 buckets, had " + count);
+        }
+        long[] buckets = new long[count];
+        for (int i = 0; i < count; i++) {
+            buckets[i] = in.unpackLong();
+        }
+        return new EndpointDigest(summary, buckets);
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointDistribution.java
@@ -0,0 +1,267 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.Scheduler;
+import dev.zinniaring.kernel.Scheduler.Cancellable;
+import dev.zinniaring.membership.Membership;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.Network;
+import dev.zinniaring.transport.Peer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Spreads the endpoint records of the backend servers beside this node and learns those of others.
+ *
+ * <pre>{@code
+ * EndpointDistribution endpoints = EndpointDistribution.builder()
+ *         .network(network).membership(membership).scheduler(scheduler)
+ *         .callAddress("10.0.0.7:7480").build(); // before the network starts
+ * endpoints.start();
+ * }</pre>
+ */
+public final class EndpointDistribution implements Endpoints {
+    private static final Logger log = LoggerFactory.getLogger(EndpointDistribution.class);
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+
+    private final Context context;
+    private final LocalServers local;
+    private final EndpointStore store = new EndpointStore();
+    private final EndpointOutbox outbox;
+    private final EndpointRepair repair;
+    private final LivenessFilter liveness;
+    private final List<Consumer<EndpointView>> listeners = new CopyOnWriteArrayList<>();
+    private final List<Cancellable> timers = new ArrayList<>();
+    private volatile boolean running;
+
+    private EndpointDistribution(Builder builder) {
+        context = builder.context();
+        Network network = context.network();
+        String callAddress = Objects.requireNonNull(builder.callAddress, "callAddress");
+        local =
+                new LocalServers(
+                        network.self().nodeId(),
+                        network.self().zone(),
+                        callAddress,
+                        network.incarnation());
+        outbox = new EndpointOutbox(context);
+        repair = new EndpointRepair(context, store);
+        liveness = new LivenessFilter(context.clock());
+        handle(EndpointBatch.CODEC, this::onBatch);
+        handle(EndpointPull.CODEC, repair::onPull);
+        handle(EndpointDigest.CODEC, repair::onDigest);
+        context.membership().subscribe((before, after) -> context.mailbox().post(this::sweep));
+    }
+
+    /** Returns a builder. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Begins to spread and learn. The network must have started. */
+    public void start() {
+        running = true;
+        Timings timings = context.timings();
+        timers.add(context.every(timings.endpointBatch(), outbox::flush));
+        timers.add(context.every(timings.digest(), repair::sendDigests));
+        timers.add(context.every(SWEEP, this::sweep));
+        context.after(context.jitter(timings.startJitter()), this::pullUntilSynced);
+    }
+
+    /** Stops spreading, after sending what is pending. The view stays readable. */
+    public void stop() {
+        timers.forEach(Cancellable::cancel);
+        context.mailbox().post(outbox::flush);
+        running = false;
+    }
+
+    @Override
+    public EndpointView view() {
+        return store.view();
+    }
+
+    @Override
+    public void subscribe(Consumer<EndpointView> listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public void announce(LocalServer server) {
+        local.announce(server).ifPresent(this::spread);
+    }
+
+    @Override
+    public void withdraw(String serverId) {
+        local.withdraw(serverId).ifPresent(this::spread);
+    }
+
+    /** Returns what the state dump shows; the figures may be a moment old. */
+    public EndpointStatus state() {
+        return new EndpointStatus(
+                store.size(),
+                repair.synced(),
+                outbox.size(),
+                outbox.batchesSent(),
+                repair.differences(),
+                repair.refusedPulls());
+    }
+
+    private <M extends Message> void handle(Wire.Codec<M> codec, BiConsumer<Peer, M> handler) {
+        context.handle(
+                codec,
+                (from, message) -> {
+                    if (running) {
+                        handler.accept(from, message);
+                    }
+                });
+    }
+
+    /** The view changes at once, so that the caller sees its own write. */
+    private void spread(EndpointRecord record) {
+        store.merge(List.of(record), context.clock().nanos());
+        context.mailbox()
+                .post(
+                        () -> {
+                            outbox.add(record);
+                            changed();
+                        });
+    }
+
+    private void onBatch(Peer from, EndpointBatch batch) {
+        try {
+            learn(from, batch, EndpointBlock.unpack(batch.packed()));
+        } catch (DistributionException e) {
+            log.warn("endpoint batch from {} is refused: {}", from.nodeId(), e.getMessage());
+        }
+    }
+
+    private void learn(Peer from, EndpointBatch batch, List<EndpointRecord> records) {
+        local.overrule(records).forEach(this::spread);
+        List<EndpointRecord> usable =
+                records.stream()
+                        .filter(record -> !local.owns(record))
+                        .filter(record -> !liveness.drops(context.view(), record))
+                        .toList();
+        boolean forwarded = repair.synced() || batch.wholeBuckets() == 0;
+        List<EndpointRecord> taken = store.merge(usable, context.clock().nanos());
+        if (forwarded) {
+            outbox.addAll(taken, from);
+        }
+        repair.answered(from, batch.wholeBuckets(), records);
+        if (!taken.isEmpty()) {
+            changed();
+        }
+    }
+
+    private void sweep() {
+        int expired =
+                store.expire(
+                        record -> !local.owns(record) && liveness.drops(context.view(), record),
+                        context.clock().nanos());
+        if (expired > 0) {
+            changed();
+        }
+    }
+
+    private void pullUntilSynced() {
+        if (!running || repair.synced()) {
+            return;
+        }
+        repair.pullAll();
+        Duration retry = context.timings().retry();
+        context.after(retry.plus(context.jitter(retry)), this::pullUntilSynced);
+    }
+
+    private void changed() {
+        EndpointView view = store.view();
+        for (Consumer<EndpointView> listener : listeners) {
+            listener.accept(view);
+        }
+    }
+
+    /** Collects the parts of an {@link EndpointDistribution}. */
+    public static final class Builder {
+        private @Nullable Network network;
+        private @Nullable Membership membership;
+        private Clock clock = Clock.system();
+        private @Nullable Scheduler scheduler;
+        private @Nullable RandomGenerator random;
+        private @Nullable String callAddress;
+        private Timings timings = Timings.standard();
+
+        private Builder() {}
+
+        /** Sets the network, whose messages are registered by {@link #build()}. */
+        public Builder network(Network value) {
+            network = value;
+            return this;
+        }
+
+        /** Sets where live peers and gateways come from. */
+        public Builder membership(Membership value) {
+            membership = value;
+            return this;
+        }
+
+        /** Sets the clock, by default the VM's. */
+        public Builder clock(Clock value) {
+            clock = value;
+            return this;
+        }
+
+        /** Sets what runs timers and handlers. */
+        public Builder scheduler(Scheduler value) {
+            scheduler = value;
+            return this;
+        }
+
+        /** Sets the source of jitter and random choices. */
+        public Builder random(RandomGenerator value) {
+            random = value;
+            return this;
+        }
+
+        /** Sets the {@code ip:port} at which this node takes calls. */
+        public Builder callAddress(String value) {
+            callAddress = value;
+            return this;
+        }
+
+        /** Sets how often the node does what. */
+        public Builder timings(Timings value) {
+            timings = value;
+            return this;
+        }
+
+        /**
+         * Returns the distribution and registers its messages with the network.
+         *
+         * @throws NullPointerException if a part is missing
+         */
+        public EndpointDistribution build() {
+            return new EndpointDistribution(this);
+        }
+
+        private Context context() {
+            Scheduler timers = Objects.requireNonNull(scheduler, "scheduler");
+            return new Context(
+                    Objects.requireNonNull(network, "network"),
+                    Objects.requireNonNull(membership, "membership"),
+                    clock,
+                    timers,
+                    random == null ? new java.util.Random() : random,
+                    timings,
+                    new Mailbox(timers));
+        }
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointPull.java
@@ -0,0 +1,17 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.transport.Message;
+
+/**
+ * Asks a peer for its endpoint records.
+ *
+ * @param buckets bit set of the buckets wanted
+ */
+record EndpointPull(long buckets) implements Message {
+    static final Wire.Codec<EndpointPull> CODEC =
+            Wire.repairable(
+                    51,
+                    EndpointPull.class,
+                    (message, out) -> out.packLong(message.buckets),
+                    in -> new EndpointPull(in.unpackLong()));
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/LivenessFilter.java
@@ -0,0 +1,42 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.membership.Member;
+import dev.zinniaring.membership.MemberView;
+import dev.zinniaring.model.EndpointRecord;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Tells which records to drop and refuse because their node is dead or unknown. Runs in the
+ * mailbox.
+ */
+final class LivenessFilter {
+    /** Time after which records of a node that membership does not know are dropped. */
+    private static final Duration UNKNOWN_KEPT = Duration.ofSeconds(60);
+
+    private static final int MAX_UNKNOWN_NODES = 4_096;
+
+    private final Clock clock;
+    private final Map<String, Long> unknownSince = new LinkedHashMap<>();
+
+    LivenessFilter(Clock clock) {
+        this.clock = clock;
+    }
+
+    /** Returns whether a record's node rules out that it is used. */
+    boolean drops(MemberView view, EndpointRecord record) {
+        Optional<Member> member = view.member(record.nodeId());
+        if (member.isPresent()) {
+            unknownSince.remove(record.nodeId());
+            return !member.get().live();
+        }
+        if (unknownSince.size() >= MAX_UNKNOWN_NODES) {
+            return !unknownSince.containsKey(record.nodeId());
+        }
+        long since = unknownSince.computeIfAbsent(record.nodeId(), id -> clock.nanos());
+        return clock.since(since).compareTo(UNKNOWN_KEPT) >= 0;
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Mailbox.java
@@ -0,0 +1,46 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.kernel.Scheduler;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs tasks one at a time, in the order of posting, on a scheduler's threads. */
+final class Mailbox {
+    private static final Logger log = LoggerFactory.getLogger(Mailbox.class);
+
+    private final Scheduler scheduler;
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger waiting = new AtomicInteger();
+
+    Mailbox(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    void post(Runnable task) {
+        tasks.add(task);
+        if (waiting.getAndIncrement() == 0) {
+            scheduler.execute(this::drain);
+        }
+    }
+
+    private void drain() {
+        do {
+            runNext();
+        } while (waiting.decrementAndGet() > 0);
+    }
+
+    private void runNext() {
+        Runnable task = tasks.poll();
+        if (task == null) {
+            return;
+        }
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            log.error("distribution task failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionBody.java
@@ -0,0 +1,26 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.transport.Message;
+
+/**
+ * A whole recorded version.
+ *
+ * @param number the version
+ * @param hash its hash
+ * @param packedBody its canonical bytes, compressed
+ */
+record VersionBody(long number, String hash, byte[] packedBody) implements Message {
+    static final Wire.Codec<VersionBody> CODEC =
+            Wire.repairable(
+                    46,
+                    VersionBody.class,
+                    (message, out) -> {
+                        out.packLong(message.number).packString(message.hash);
+                        Wire.bytes(out, message.packedBody);
+                    },
+                    in ->
+                            new VersionBody(
+                                    Wire.natural(in),
+                                    Wire.text(in, Wire.MAX_HASH_BYTES),
+                                    Wire.bytes(in, Wire.MAX_PACKED_BYTES)));
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionDigest.java
@@ -0,0 +1,18 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.transport.Message;
+
+/**
+ * Names the version that the sender holds. The receiver pulls it or pushes its own.
+ *
+ * @param number the version, 0 for none
+ * @param hash its hash, empty for none
+ */
+record VersionDigest(long number, String hash) implements Message {
+    static final Wire.Codec<VersionDigest> CODEC =
+            Wire.repairable(
+                    47,
+                    VersionDigest.class,
+                    (message, out) -> out.packLong(message.number).packString(message.hash),
+                    in -> new VersionDigest(Wire.natural(in), Wire.text(in, Wire.MAX_HASH_BYTES)));
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionPull.java
@@ -0,0 +1,18 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.transport.Message;
+
+/**
+ * Asks a peer for the version that it holds.
+ *
+ * @param heldNumber the sender's version, 0 for none; the answer may be a delta from it
+ * @param heldHash its hash, empty for none
+ */
+record VersionPull(long heldNumber, String heldHash) implements Message {
+    static final Wire.Codec<VersionPull> CODEC =
+            Wire.repairable(
+                    45,
+                    VersionPull.class,
+                    (message, out) -> out.packLong(message.heldNumber).packString(message.heldHash),
+                    in -> new VersionPull(Wire.natural(in), Wire.text(in, Wire.MAX_HASH_BYTES)));
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionPush.java
@@ -0,0 +1,43 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.transport.Message;
+import java.util.SortedSet;
+
+/**
+ * Tells a peer of a version that a majority of seeds has recorded. Versions that are not recorded
+ * are never sent.
+ *
+ * @param number the version
+ * @param hash its hash
+ * @param baseNumber the version to which the delta applies
+ * @param baseHash hash of that version
+ * @param delta compressed difference; empty if the receiver must pull the body
+ * @param zones availability zones to which the version was already sent
+ */
+record VersionPush(
+        long number,
+        String hash,
+        long baseNumber,
+        String baseHash,
+        byte[] delta,
+        SortedSet<String> zones)
+        implements Message {
+    static final Wire.Codec<VersionPush> CODEC =
+            Wire.repairable(
+                    44,
+                    VersionPush.class,
+                    (message, out) -> {
+                        out.packLong(message.number).packString(message.hash);
+                        out.packLong(message.baseNumber).packString(message.baseHash);
+                        Wire.bytes(out, message.delta);
+                        Wire.names(out, message.zones);
+                    },
+                    in ->
+                            new VersionPush(
+                                    Wire.natural(in),
+                                    Wire.text(in, Wire.MAX_HASH_BYTES),
+                                    Wire.natural(in),
+                                    Wire.text(in, Wire.MAX_HASH_BYTES),
+                                    Wire.bytes(in, Wire.MAX_PACKED_BYTES),
+                                    Wire.names(in)));
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionSpread.java
@@ -0,0 +1,237 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.model.ModelException;
+import dev.zinniaring.model.TablesCodec;
+import dev.zinniaring.model.TablesDelta;
+import dev.zinniaring.transport.Peer;
+import java.time.Duration;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings recorded versions from node to node: pushes what is new, compares digests and pulls what
+ * is missing. Runs in the mailbox.
+ */
+final class VersionSpread {
+    private static final Logger log = LoggerFactory.getLogger(VersionSpread.class);
+    // Several neighbours push to one node; a larger delta is announced only and pulled once.
+    private static final int MAX_PUSHED_DELTA_BYTES = 32 * 1024;
+    private static final Duration PULL_TIMEOUT = Duration.ofSeconds(1);
+    private static final double BODIES_PER_SECOND = 50;
+    private static final double BODIES_AT_ONCE = 100;
+
+    private final Context context;
+    private final VersionState state;
+    private final BiConsumer<HeldVersion, VersionState.Outcome> accepted;
+    private final TokenBucket bodies;
+    private @Nullable Delta delta;
+    private @Nullable VersionBody body;
+    private long pullNanos;
+    private boolean pulling;
+    private long refusedBodies;
+
+    /** The compressed difference between two versions. */
+    private record Delta(long number, long baseNumber, String baseHash, byte[] packed) {
+        boolean leadsFrom(long number, String hash) {
+            return baseNumber == number && baseHash.equals(hash);
+        }
+    }
+
+    VersionSpread(
+            Context context,
+            VersionState state,
+            BiConsumer<HeldVersion, VersionState.Outcome> accepted) {
+        this.context = context;
+        this.state = state;
+        this.accepted = accepted;
+        this.bodies = new TokenBucket(context.clock(), BODIES_PER_SECOND, BODIES_AT_ONCE);
+    }
+
+    /** Takes a version that this node got recorded. */
+    void recordedHere(HeldVersion version) {
+        HeldVersion before = state.now().held();
+        if (offer(version)) {
+            delta = deltaFrom(before, version);
+            send(version, PushPlan.fromHere(context.view()));
+        }
+    }
+
+    void onPush(Peer from, VersionPush push) {
+        if (!state.wants(push.number(), push.hash())) {
+            return;
+        }
+        HeldVersion base = state.now().held();
+        if (base == null || !isBase(base, push) || !applied(from, push, base)) {
+            pull(from);
+        }
+    }
+
+    void onPull(Peer from, VersionPull pull) {
+        HeldVersion held = state.now().held();
+        if (held == null || held.number() <= pull.heldNumber()) {
+            return;
+        }
+        Delta fitting = deltaFrom(pull.heldNumber(), pull.heldHash());
+        if (fitting != null && fitting.packed.length <= MAX_PUSHED_DELTA_BYTES) {
+            context.network().send(from, push(held, fitting, new TreeSet<>()));
+        } else if (bodies.take()) {
+            context.network().send(from, packed(held));
+        } else {
+            refusedBodies++;
+        }
+    }
+
+    void onBody(Peer from, VersionBody message) {
+        pulling = false;
+        if (!state.wants(message.number(), message.hash())) {
+            return;
+        }
+        try {
+            byte[] bytes = Gzip.unpack(message.packedBody(), TablesCodec.MAX_BODY_BYTES);
+            take(from, message.number(), message.hash(), bytes, null, new TreeSet<>());
+        } catch (DistributionException e) {
+            log.warn("body from {} is refused: {}", from.nodeId(), e.getMessage());
+        }
+    }
+
+    void onDigest(Peer from, VersionDigest digest) {
+        VersionState.Snapshot now = state.now();
+        HeldVersion held = now.held();
+        if (state.wants(digest.number(), digest.hash())) {
+            pull(from);
+        } else if (held != null && digest.number() < held.number()) {
+            Delta fitting = deltaFrom(digest.number(), digest.hash());
+            context.network().send(from, push(held, fitting, new TreeSet<>()));
+        }
+    }
+
+    /** Sends a digest to one peer of the own zone, and from a gateway to one of another zone. */
+    void sendDigests() {
+        VersionState.Snapshot now = state.now();
+        VersionDigest digest = new VersionDigest(now.heldNumber(), now.heldHash());
+        Gossip.inZone(context.view(), context.random())
+                .ifPresent(peer -> context.network().send(peer, digest));
+        if (context.view().isGateway()) {
+            Gossip.acrossZones(context.view(), context.random())
+                    .ifPresent(peer -> context.network().send(peer, digest));
+        }
+    }
+
+    /** Asks a peer for its version; of a starting node. */
+    void pullAtStart() {
+        Gossip.forStart(context.view(), context.random()).ifPresent(this::pull);
+    }
+
+    long refusedBodies() {
+        return refusedBodies;
+    }
+
+    private void pull(Peer from) {
+        boolean waiting = pulling && context.clock().since(pullNanos).compareTo(PULL_TIMEOUT) < 0;
+        if (waiting) {
+            return;
+        }
+        pulling = true;
+        pullNanos = context.clock().nanos();
+        VersionState.Snapshot now = state.now();
+        context.network().send(from, new VersionPull(now.heldNumber(), now.heldHash()));
+    }
+
+    private static boolean isBase(HeldVersion held, VersionPush push) {
+        return push.delta().length > 0
+                && held.number() == push.baseNumber()
+                && held.hash().equals(push.baseHash());
+    }
+
+    private boolean applied(Peer from, VersionPush push, HeldVersion base) {
+        try {
+            byte[] bytes = Gzip.unpack(push.delta(), TablesCodec.MAX_BODY_BYTES);
+            byte[] target = TablesDelta.apply(base.version().tables(), bytes, push.hash());
+            Delta received =
+                    new Delta(push.number(), push.baseNumber(), push.baseHash(), push.delta());
+            take(from, push.number(), push.hash(), target, received, push.zones());
+            return true;
+        } catch (DistributionException | ModelException e) {
+            log.warn("delta from {} does not apply: {}", from.nodeId(), e.getMessage());
+            return false;
+        }
+    }
+
+    private void take(
+            Peer from,
+            long number,
+            String hash,
+            byte[] bytes,
+            @Nullable Delta received,
+            SortedSet<String> zones)
+            throws DistributionException {
+        HeldVersion before = state.now().held();
+        HeldVersion version = checked(number, hash, bytes);
+        if (version != null && offer(version)) {
+            delta = received != null ? received : deltaFrom(before, version);
+            send(version, PushPlan.from(context.view(), from, zones));
+        }
+    }
+
+    private @Nullable HeldVersion checked(long number, String hash, byte[] bytes)
+            throws DistributionException {
+        try {
+            return HeldVersion.read(number, hash, bytes);
+        } catch (ModelException e) {
+            state.refuse(number, hash, String.valueOf(e.getMessage()));
+            log.warn("version {} is refused: {}", number, e.getMessage());
+            return null;
+        }
+    }
+
+    private boolean offer(HeldVersion version) {
+        VersionState.Outcome outcome = state.offer(version);
+        if (outcome != VersionState.Outcome.IN_FORCE && outcome != VersionState.Outcome.HELD) {
+            return false;
+        }
+        pulling = false;
+        body = null;
+        accepted.accept(version, outcome);
+        return true;
+    }
+
+    private void send(HeldVersion version, PushPlan plan) {
+        VersionPush push = push(version, delta, plan.zones());
+        plan.peers().forEach(peer -> context.network().send(peer, push));
+    }
+
+    private static VersionPush push(
+            HeldVersion held, @Nullable Delta delta, SortedSet<String> zones) {
+        if (delta == null || delta.packed.length > MAX_PUSHED_DELTA_BYTES) {
+            return new VersionPush(held.number(), held.hash(), 0, "", new byte[0], zones);
+        }
+        return new VersionPush(
+                held.number(), held.hash(), delta.baseNumber, delta.baseHash, delta.packed, zones);
+    }
+
+    private @Nullable Delta deltaFrom(long number, String hash) {
+        Delta known = delta;
+        return known != null && known.leadsFrom(number, hash) ? known : null;
+    }
+
+    private VersionBody packed(HeldVersion held) {
+        VersionBody cached = body;
+        if (cached == null || cached.number() != held.number()) {
+            cached = new VersionBody(held.number(), held.hash(), Gzip.pack(held.body()));
+            body = cached;
+        }
+        return cached;
+    }
+
+    private static @Nullable Delta deltaFrom(@Nullable HeldVersion base, HeldVersion target) {
+        if (base == null) {
+            return null;
+        }
+        byte[] bytes = TablesDelta.between(base.version().tables(), target.version().tables());
+        return new Delta(target.number(), base.number(), base.hash(), Gzip.pack(bytes));
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Wire.java
@@ -0,0 +1,123 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
+import java.io.IOException;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Reading and writing of the fields of messages, with a limit on every length. */
+final class Wire {
+    static final int MAX_NAME_BYTES = 256;
+    static final int MAX_HASH_BYTES = 64;
+    static final int MAX_SEEDS = 1_024;
+    static final int MAX_ZONES = 256;
+    // Below the 4 MiB limit of a frame, with room for the other fields.
+    static final int MAX_PACKED_BYTES = 4 * 1024 * 1024 - 64 * 1024;
+
+    private Wire() {}
+
+    /** A codec made of two functions. */
+    record Codec<M extends Message>(
+            int type, Class<M> messageClass, Writer<M> writer, Reader<M> reader, Overflow overflow)
+            implements MessageCodec<M> {
+        @Override
+        public void write(M message, MessagePacker out) throws IOException {
+            writer.write(message, out);
+        }
+
+        @Override
+        public M read(MessageUnpacker in) throws IOException {
+            return reader.read(in);
+        }
+    }
+
+    /** Writes the fields of a message. */
+    interface Writer<M> {
+        void write(M message, MessagePacker out) throws IOException;
+    }
+
+    /** Reads the fields of a message. */
+    interface Reader<M> {
+        M read(MessageUnpacker in) throws IOException;
+    }
+
+    /** Returns a codec for messages that a later one repeats or repairs. */
+    static <M extends Message> Codec<M> repairable(
+            int type, Class<M> messageClass, Writer<M> writer, Reader<M> reader) {
+        return new Codec<>(type, messageClass, writer, reader, MessageCodec.Overflow.DROP_OLDEST);
+    }
+
+    static String text(MessageUnpacker in, int maxBytes) throws IOException {
+        int length = checked(in.unpackRawStringHeader(), maxBytes, "string");
+        return new String(in.readPayload(length), java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    static byte[] bytes(MessageUnpacker in, int maxBytes) throws IOException {
+        return in.readPayload(checked(in.unpackBinaryHeader(), maxBytes, "binary"));
+    }
+
+    static void bytes(MessagePacker out, byte[] bytes) throws IOException {
+        out.packBinaryHeader(bytes.length).writePayload(bytes);
+    }
+
+    static long natural(MessageUnpacker in) throws IOException {
+        long value = in.unpackLong();
+        if (value < 0) {
+            throw new IOException("number must not be negative, was " + value);
+        }
+        return value;
+    }
+
+    static int naturalInt(MessageUnpacker in) throws IOException {
+        int value = in.unpackInt();
+        if (value < 0) {
+            throw new IOException("number must not be negative, was " + value);
+        }
+        return value;
+    }
+
+    static SortedMap<String, Long> numbers(MessageUnpacker in) throws IOException {
+        int count = checked(in.unpackMapHeader(), MAX_SEEDS, "map");
+        SortedMap<String, Long> numbers = new TreeMap<>();
+        for (int i = 0; i < count; i++) {
+            numbers.put(text(in, MAX_NAME_BYTES), natural(in));
+        }
+        return numbers;
+    }
+
+    static void numbers(MessagePacker out, Map<String, Long> numbers) throws IOException {
+        out.packMapHeader(numbers.size());
+        for (Map.Entry<String, Long> entry : numbers.entrySet()) {
+            out.packString(entry.getKey()).packLong(entry.getValue());
+        }
+    }
+
+    static SortedSet<String> names(MessageUnpacker in) throws IOException {
+        int count = checked(in.unpackArrayHeader(), MAX_ZONES, "list");
+        SortedSet<String> names = new TreeSet<>();
+        for (int i = 0; i < count; i++) {
+            names.add(text(in, MAX_NAME_BYTES));
+        }
+        return names;
+    }
+
+    static void names(MessagePacker out, SortedSet<String> names) throws IOException {
+        out.packArrayHeader(names.size());
+        for (String name : names) {
+            out.packString(name);
+        }
+    }
+
+    static int checked(int length, int max, String what) throws IOException {
+        if (length < 0 || length > max) {
+            throw new IOException(what + " length must be at most " + max + ", was " + length);
+        }
+        return length;
+    }
+}
--- /dev/null
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimMesh.java
@@ -0,0 +1,196 @@
+package dev.zinniaring.distribution;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.kernel.ManualClock;
+import dev.zinniaring.kernel.ManualScheduler;
+import dev.zinniaring.membership.Member;
+import dev.zinniaring.membership.MemberState;
+import dev.zinniaring.model.EndpointState;
+import dev.zinniaring.model.TablesCodec;
+import dev.zinniaring.model.Version;
+import dev.zinniaring.transport.Peer;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * A mesh of real distributions over an in-memory network in manual time. Every version that comes
+ * into force is checked against what the node's identity had in force before and what was accepted.
+ */
+final class SimMesh {
+    private static final Duration DETECTION = Duration.ofSeconds(3);
+    private static final Duration GOSSIP = Duration.ofMillis(500);
+
+    final ManualClock clock = ManualClock.startingAt(Instant.ofEpochMilli(1_700_000_000_000L));
+    final ManualScheduler scheduler = new ManualScheduler(clock);
+    final SimPlatform platform = new SimPlatform();
+    final Random random;
+    final List<InetSocketAddress> seeds = new ArrayList<>();
+    final List<Peer> peers = new ArrayList<>();
+    final Map<String, SimNode> nodes = new TreeMap<>();
+    final Set<Set<String>> cutPairs = new HashSet<>();
+    final Map<String, Integer> crossZoneBytes = new TreeMap<>();
+    double loss;
+    double duplicates;
+    int maxDelayMillis = 5;
+
+    private final Map<String, Map<String, Member>> believed = new HashMap<>();
+    private final Map<String, Long> diedNanos = new HashMap<>();
+    private final Map<String, Long> inForce = new HashMap<>();
+
+    SimMesh(long seed, int zones, int nodesPerZone, int seedsPerZone) {
+        random = new Random(seed);
+        for (int zone = 0; zone < zones; zone++) {
+            for (int i = 0; i < nodesPerZone; i++) {
+                InetSocketAddress address =
+                        new InetSocketAddress("10.0." + zone + "." + (i + 1), 7400);
+                peers.add(new Peer("n" + zone + "-" + i, "zone" + zone, address));
+                if (i < seedsPerZone) {
+                    seeds.add(address);
+                }
+            }
+        }
+        scheduler.every(GOSSIP, this::gossip);
+    }
+
+    void startAll() {
+        peers.forEach(peer -> start(peer.nodeId()));
+    }
+
+    void start(String nodeId) {
+        Peer peer = peer(nodeId);
+        SimNode node = new SimNode(this, peer, clock.now().toEpochMilli());
+        node.versions.subscribe(version -> check(nodeId, version));
+        nodes.put(nodeId, node);
+        diedNanos.remove(nodeId);
+        gossip();
+        node.start();
+    }
+
+    /** Ends a node's life; all its memory is lost. */
+    void crash(String nodeId) {
+        SimNode node = nodes.remove(nodeId);
+        if (node != null) {
+            node.dead = true;
+            diedNanos.put(nodeId, clock.nanos());
+        }
+    }
+
+    void advance(Duration step) {
+        scheduler.advance(step);
+    }
+
+    SimNode node(String nodeId) {
+        return nodes.get(nodeId);
+    }
+
+    Peer peer(String nodeId) {
+        return peers.stream().filter(p -> p.nodeId().equals(nodeId)).findFirst().orElseThrow();
+    }
+
+    void cut(String zone, String other) {
+        cutPairs.add(Set.of(zone, other));
+    }
+
+    boolean isCut(String zone, String other) {
+        return !zone.equals(other) && cutPairs.contains(Set.of(zone, other));
+    }
+
+    void heal() {
+        cutPairs.clear();
+        platform.cutZones.clear();
+        loss = 0;
+        duplicates = 0;
+        nodes.values().forEach(SimNode::resume);
+        peers.stream().map(Peer::nodeId).filter(id -> !nodes.containsKey(id)).forEach(this::start);
+    }
+
+    Duration platformDelay() {
+        return Duration.ofMillis(1 + random.nextInt(10 * maxDelayMillis));
+    }
+
+    void announce(String nodeId, String serverId, EndpointState state) {
+        node(nodeId)
+                .endpoints
+                .announce(new Endpoints.LocalServer(serverId, "service", 1, 1, state, 0));
+    }
+
+    /**
+     * The members that a node believes in: those of zones that its own zone can reach are fresh.
+     */
+    Map<String, Member> believed(SimNode node) {
+        Map<String, Member> members =
+                new TreeMap<>(believed.getOrDefault(node.peer.zone(), Map.of()));
+        members.put(node.peer.nodeId(), node.member(MemberState.ALIVE));
+        return members;
+    }
+
+    void transmit(SimNode from, InetSocketAddress to, int type, byte[] bytes) {
+        Peer target =
+                peers.stream().filter(p -> p.controlAddress().equals(to)).findFirst().orElseThrow();
+        if (!from.peer.zone().equals(target.zone())) {
+            crossZoneBytes.merge(
+                    from.peer.zone() + ">" + target.zone(), bytes.length, Integer::sum);
+        }
+        if (random.nextDouble() >= loss) {
+            deliverLater(from, target, type, bytes);
+        }
+        if (random.nextDouble() < duplicates) {
+            deliverLater(from, target, type, bytes);
+        }
+    }
+
+    private void deliverLater(SimNode from, Peer target, int type, byte[] bytes) {
+        Duration delay = Duration.ofMillis(1 + random.nextInt(maxDelayMillis));
+        scheduler.after(
+                delay,
+                () -> {
+                    SimNode node = nodes.get(target.nodeId());
+                    if (node != null && !isCut(from.peer.zone(), target.zone())) {
+                        node.receive(from.peer, type, bytes);
+                    }
+                });
+    }
+
+    private void gossip() {
+        for (Peer observer : peers) {
+            Map<String, Member> members =
+                    believed.computeIfAbsent(observer.zone(), zone -> new TreeMap<>());
+            for (Peer peer : peers) {
+                if (!isCut(observer.zone(), peer.zone())) {
+                    refresh(members, peer.nodeId());
+                }
+            }
+        }
+    }
+
+    private void refresh(Map<String, Member> members, String nodeId) {
+        SimNode node = nodes.get(nodeId);
+        Member last = members.get(nodeId);
+        if (node != null) {
+            members.put(nodeId, node.member(MemberState.ALIVE));
+        } else if (last != null && clock.since(diedNanos.get(nodeId)).compareTo(DETECTION) >= 0) {
+            members.put(nodeId, new Member(last.peer(), last.incarnation(), MemberState.DEAD));
+        }
+    }
+
+    private void check(String nodeId, Version version) {
+        long before = inForce.getOrDefault(nodeId, 0L);
+        assertThat(version.number())
+                .as("version in force on " + nodeId)
+                .isGreaterThanOrEqualTo(before);
+        assertThat(version.hash()).isEqualTo(platform.hash(version.number()));
+        assertThat(TablesCodec.hash(TablesCodec.encode(version.tables())))
+                .isEqualTo(version.hash());
+        inForce.put(nodeId, version.number());
+    }
+}
