Run many control nodes on loopback in one JVM for experiments

Cause: convergence, recovery and cost slopes need real sockets and many nodes. Change: ControlMesh starts network, membership and distribution of each node on its own loopback address with shared threads, and a platform over HTTP. Conclusion: experiments can start, kill and cut nodes.

--- /dev/null
+++ b/bench/src/main/java/dev/zinniaring/bench/ControlMesh.java
@@ -0,0 +1,307 @@
+package dev.zinniaring.bench;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.ExecutorScheduler;
+import dev.zinniaring.kernel.NamedThreads;
+import dev.zinniaring.kernel.Scheduler;
+import dev.zinniaring.model.EndpointState;
+import dev.zinniaring.platform.HttpObjectStore;
+import dev.zinniaring.platform.HttpTableService;
+import dev.zinniaring.platform.PlatformHttp;
+import dev.zinniaring.platform.RequestCounts;
+import dev.zinniaring.publish.PlatformVersionSource;
+import dev.zinniaring.publish.Publisher;
+import dev.zinniaring.publish.VersionSource;
+import dev.zinniaring.standins.PlatformServer;
+import dev.zinniaring.transport.IoLoop;
+import dev.zinniaring.transport.LinkConditions;
+import dev.zinniaring.transport.TransportException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * Control subsystems of many nodes on loopback in one JVM, with a platform stand-in over HTTP. Each
+ * node has a loopback address of its own. Threads are shared by the nodes, so that the cost of a
+ * node is that of its work.
+ */
+final class ControlMesh implements AutoCloseable {
+    static final String MESH = "bench";
+    private static final int SEEDS_PER_ZONE = 3;
+    private static final int SCHEDULER_THREADS = 4;
+    private static final int PLATFORM_THREADS = 8;
+    private static final int IO_LOOPS = 3;
+    private static final int CALL_PORT = 8080;
+
+    private final PlatformServer platform;
+    private final RequestCounts nodeRequests = new RequestCounts();
+    private final RequestCounts operatorRequests = new RequestCounts();
+    private final PlatformHttp nodeHttp;
+    private final PlatformHttp operatorHttp;
+    private final ExecutorScheduler scheduler =
+            new ExecutorScheduler("bench-scheduler", SCHEDULER_THREADS);
+    private final ExecutorService platformExecutor =
+            Executors.newFixedThreadPool(PLATFORM_THREADS, NamedThreads.daemon("bench-platform"));
+    private final List<IoLoop> loops = new ArrayList<>();
+    private final LinkConditions conditions = new LinkConditions();
+    private final List<Place> places;
+    private final Map<String, ControlNode> nodes = new ConcurrentHashMap<>();
+    private final Random random;
+    private long nextIncarnation = Clock.system().now().toEpochMilli();
+
+    /**
+     * Where a node runs.
+     *
+     * @param nodeId unique in the mesh
+     * @param zone its availability zone
+     * @param service the service of the backend server beside it
+     * @param control its control address
+     */
+    record Place(String nodeId, String zone, String service, InetSocketAddress control) {
+        String callAddress() {
+            return control.getAddress().getHostAddress() + ":" + CALL_PORT;
+        }
+    }
+
+    /** What the nodes of one mesh share. */
+    record Parts(
+            String mesh,
+            List<InetSocketAddress> seeds,
+            Scheduler scheduler,
+            Executor platformExecutor,
+            LinkConditions conditions,
+            VersionSource source,
+            IoLoop loop) {}
+
+    private ControlMesh(List<Place> places, long seed) throws ExperimentException {
+        this.places = places;
+        random = new Random(seed);
+        platform = PlatformServer.builder().start();
+        nodeHttp = PlatformHttp.builder().observer(nodeRequests).build();
+        operatorHttp = PlatformHttp.builder().observer(operatorRequests).build();
+        try {
+            for (int i = 0; i < IO_LOOPS; i++) {
+                loops.add(IoLoop.open("bench-io-" + i));
+            }
+        } catch (TransportException e) {
+            throw new ExperimentException("no I/O threads", e);
+        }
+    }
+
+    /** Returns a mesh with the nodes of a deployment, none of them started. */
+    static ControlMesh of(Deployment deployment, long seed) throws ExperimentException {
+        ControlMesh mesh = new ControlMesh(places(deployment, freePort()), seed);
+        mesh.conditions(deployment.zones(), deployment.oneWay(), 0);
+        return mesh;
+    }
+
+    /**
+     * Returns a mesh of {@code nodes} nodes spread evenly over zones and services, none started.
+     */
+    static ControlMesh of(List<String> zones, int nodes, int services, long seed)
+            throws ExperimentException {
+        int port = freePort();
+        List<Place> places = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            String zone = zones.get(i % zones.size());
+            places.add(
+                    new Place(
+                            String.format("node-%04d", i),
+                            zone,
+                            "service-" + i % services,
+                            address(i, port)));
+        }
+        return new ControlMesh(places, seed);
+    }
+
+    private static List<Place> places(Deployment deployment, int port) {
+        List<Place> places = new ArrayList<>();
+        for (Deployment.Service service : deployment.services()) {
+            for (int i = 0; i < service.servers(); i++) {
+                int index = places.size();
+                String nodeId = "node-" + service.name() + "-" + i;
+                String zone = deployment.zoneOf(index);
+                places.add(new Place(nodeId, zone, service.name(), address(index, port)));
+            }
+        }
+        return places;
+    }
+
+    private static InetSocketAddress address(int index, int port) {
+        return new InetSocketAddress("127.1." + index / 250 + "." + (1 + index % 250), port);
+    }
+
+    private static int freePort() throws ExperimentException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new ExperimentException("no free port", e);
+        }
+    }
+
+    /** Sets delay, jitter of a fifth of the delay, and loss on every link between two zones. */
+    void conditions(List<String> zones, Duration oneWay, double loss) {
+        for (String zone : zones) {
+            for (String other : zones) {
+                if (!zone.equals(other)) {
+                    conditions.set(
+                            zone,
+                            other,
+                            new LinkConditions.Condition(oneWay, oneWay.dividedBy(5), loss, false));
+                }
+            }
+        }
+    }
+
+    /** Cuts a zone from all others, or heals what {@link #conditions} then sets again. */
+    void cut(String zone) {
+        for (Place place : places) {
+            if (!place.zone().equals(zone)) {
+                conditions.cutBoth(zone, place.zone());
+            }
+        }
+    }
+
+    /** Starts a new life of every node. */
+    void startAll() throws ExperimentException {
+        for (Place place : places) {
+            start(place);
+        }
+    }
+
+    /** Starts a new life of the node at a place and announces its backend server. */
+    ControlNode start(Place place) throws ExperimentException {
+        IoLoop loop = loops.get(Math.floorMod(place.nodeId().hashCode(), loops.size()));
+        Parts parts =
+                new Parts(
+                        MESH,
+                        seeds(),
+                        scheduler,
+                        platformExecutor,
+                        conditions,
+                        new PlatformVersionSource(
+                                MESH,
+                                new HttpTableService(nodeHttp, platform.tableUrl()),
+                                new HttpObjectStore(nodeHttp, platform.objectUrl()),
+                                new Random(random.nextLong())),
+                        loop);
+        nextIncarnation = Math.max(nextIncarnation + 1, Clock.system().now().toEpochMilli());
+        ControlNode node = new ControlNode(place, parts, nextIncarnation, random.nextLong());
+        nodes.put(place.nodeId(), node);
+        node.start();
+        node.announce(EndpointState.READY);
+        return node;
+    }
+
+    /** Ends the life of a node without telling anyone. */
+    void kill(Place place) {
+        ControlNode node = nodes.remove(place.nodeId());
+        if (node != null) {
+            node.close();
+        }
+    }
+
+    private List<InetSocketAddress> seeds() {
+        Map<String, Integer> perZone = new java.util.HashMap<>();
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        for (Place place : places) {
+            if (perZone.merge(place.zone(), 1, Integer::sum) <= SEEDS_PER_ZONE) {
+                seeds.add(place.control());
+            }
+        }
+        return seeds;
+    }
+
+    /** Returns a publisher of the mesh. */
+    Publisher publisher() {
+        return Publisher.builder(
+                        MESH,
+                        new HttpTableService(operatorHttp, platform.tableUrl()),
+                        new HttpObjectStore(operatorHttp, platform.objectUrl()))
+                .author("bench")
+                .build();
+    }
+
+    List<Place> places() {
+        return places;
+    }
+
+    List<ControlNode> nodes() {
+        return List.copyOf(nodes.values());
+    }
+
+    PlatformServer platform() {
+        return platform;
+    }
+
+    /** Returns what the nodes, not the operators, have asked of the platform. */
+    RequestCounts nodeRequests() {
+        return nodeRequests;
+    }
+
+    VersionSource source() {
+        return new PlatformVersionSource(
+                MESH,
+                new HttpTableService(nodeHttp, platform.tableUrl()),
+                new HttpObjectStore(nodeHttp, platform.objectUrl()),
+                new Random(random.nextLong()));
+    }
+
+    ExecutorScheduler scheduler() {
+        return scheduler;
+    }
+
+    /** Returns the bytes that all nodes have sent, within zones or across zones. */
+    long sentBytes(boolean crossZone) {
+        return nodes.values().stream().mapToLong(node -> node.sentBytes(crossZone)).sum();
+    }
+
+    /** Returns the bytes that nodes and platform have exchanged, both ways. */
+    long platformBytes() {
+        return nodeRequests.sentBytes() + nodeRequests.receivedBytes();
+    }
+
+    /** Waits until every started node has the given version or a later one in force. */
+    void awaitAll(long number, Duration limit) throws ExperimentException {
+        Await.until(
+                () -> nodes.values().stream().allMatch(node -> node.number() >= number),
+                limit,
+                () -> "version " + number + " on every node");
+    }
+
+    /** Waits until every started node knows all others and their endpoints. */
+    void awaitWhole(Duration limit) throws ExperimentException {
+        int size = nodes.size();
+        Await.until(
+                () ->
+                        nodes.values().stream()
+                                .allMatch(
+                                        node ->
+                                                node.membership().view().live().size() == size
+                                                        && node.endpoints().view().all().size()
+                                                                == size),
+                limit,
+                () -> "all " + size + " members and endpoints on every node");
+    }
+
+    @Override
+    public void close() {
+        nodes.values().forEach(ControlNode::close);
+        nodes.clear();
+        scheduler.close();
+        platformExecutor.shutdownNow();
+        loops.forEach(IoLoop::close);
+        nodeHttp.close();
+        operatorHttp.close();
+        platform.close();
+    }
+}
