--- a/transport/src/main/java/dev/zinniaring/transport/FrameDecoder.java
+++ b/transport/src/main/java/dev/zinniaring/transport/FrameDecoder.java
@@ -13,7 +13,7 @@
     private static final int FIRST_BUFFER_BYTES = 4_096;
     private static final byte[] EMPTY = {};
 
-    private final int maxFrameBytes;
+    private int maxFrameBytes;
     private int lengthBytesRead;
     private int length;
     private byte[] body = EMPTY;
@@ -42,6 +42,11 @@
         return frame;
     }
 
+    /** Changes the limit for the frames that follow. */
+    void allow(int newMaxFrameBytes) {
+        maxFrameBytes = newMaxFrameBytes;
+    }
+
     /** Returns whether a frame has begun and not ended. */
     boolean isPartial() {
         return lengthBytesRead > 0;
--- a/transport/src/main/java/dev/zinniaring/transport/Link.java
+++ b/transport/src/main/java/dev/zinniaring/transport/Link.java
@@ -15,13 +15,13 @@
 /** One TCP connection, opened or accepted. Used by the I/O thread alone. */
 final class Link {
     private static final Logger log = LoggerFactory.getLogger(Link.class);
-    private static final long RETRANSMISSION_NANOS = 200_000_000L;
+    private static final int MAX_GREETING_BYTES = 1_024;
 
     private final LinkContext context;
     private final LinkTable table;
     private final @Nullable InetSocketAddress target;
     private final FrameDecoder decoder;
-    private final SendQueue queue;
+    private final LinkWriter writer;
     private Phase phase;
     private @Nullable Peer expected;
     private @Nullable SocketChannel channel;
@@ -31,9 +31,6 @@
     private long startedNanos;
     private long lastUseNanos;
     private long partialSinceNanos;
-    private long lastProgressNanos;
-    private long lastDueNanos;
-    private boolean wakePending;
 
     /** The life of a link. */
     enum Phase {
@@ -53,11 +50,10 @@
         this.table = table;
         this.target = target;
         this.expected = expected;
-        this.decoder = new FrameDecoder(context.limits().maxFrameBytes());
-        this.queue = new SendQueue(context.limits().queueFrames(), context.limits().queueBytes());
+        this.decoder = new FrameDecoder(MAX_GREETING_BYTES);
+        this.writer = new LinkWriter(context, this::flush);
         this.phase = Phase.WAITING;
         this.startedNanos = now();
-        this.lastDueNanos = startedNanos;
     }
 
     static Link to(
@@ -100,19 +96,10 @@
     }
 
     void send(OutFrame frame) {
-        if (queue.size() == 0) {
-            lastProgressNanos = now();
-        }
-        long droppedBefore = queue.dropped();
-        SendQueue.Offer offer = queue.offer(frame);
-        context.counters().fault(TransportFault.DROPPED_FRAMES, queue.dropped() - droppedBefore);
-        if (offer == SendQueue.Offer.FULL) {
+        if (!writer.offer(frame)) {
             close(TransportFault.QUEUE_FULL);
-            return;
-        }
-        if (phase == Phase.OPEN) {
+        } else if (phase == Phase.OPEN) {
             lastUseNanos = now();
-            assignDue(frame);
             flush();
         }
     }
@@ -135,9 +122,9 @@
                 target == null ? limits.idleTimeout().multipliedBy(2) : limits.idleTimeout();
         if (decoder.isPartial() && passed(partialSinceNanos, limits.partialFrameTimeout(), now)) {
             close(TransportFault.PARTIAL_FRAME_TIMEOUT);
-        } else if (isStalled(now)) {
+        } else if (writer.isStalled(now)) {
             close(TransportFault.WRITE_STALL);
-        } else if (queue.size() == 0 && passed(lastUseNanos, idle, now)) {
+        } else if (writer.isEmpty() && passed(lastUseNanos, idle, now)) {
             close(null);
         } else {
             flush();
@@ -154,8 +141,7 @@
         if (fault != null) {
             context.counters().fault(fault);
         }
-        context.counters().fault(TransportFault.UNSENT, queue.size());
-        queue.clear();
+        writer.close();
         if (channel != null) {
             closeChannel(channel);
         }
@@ -194,8 +180,8 @@
                 peer == null ? "" : peer.zone(),
                 target != null,
                 phase.name().toLowerCase(java.util.Locale.ROOT),
-                queue.size(),
-                queue.bytes());
+                writer.queuedFrames(),
+                writer.queuedBytes());
     }
 
     private boolean watchWhileConnecting(SocketChannel opened, InetSocketAddress address)
@@ -237,15 +223,7 @@
 
     private void connected() {
         phase = Phase.GREETING;
-        greet(expected == null ? context.zone() : expected.zone());
-    }
-
-    private void greet(String toZone) {
-        OutFrame greeting = OutFrame.of(Hello.CODEC, context.hello());
-        lastProgressNanos = now();
-        greeting.dueAt(now() + context.delayNanos(context.conditionTo(toZone)));
-        lastDueNanos = greeting.dueNanos();
-        queue.addFirst(greeting);
+        writer.greet(expected == null ? context.zone() : expected.zone());
         flush();
     }
 
@@ -301,11 +279,12 @@
         countReceived("Hello", hello.peer(), bytes);
         phase = Phase.OPEN;
         lastUseNanos = now();
+        decoder.allow(context.limits().maxFrameBytes());
         table.opened(this, hello);
         if (target == null) {
-            greet(hello.peer().zone());
+            writer.greet(hello.peer().zone());
         }
-        queue.forEach(frame -> assignDueUnlessGreeting(frame));
+        writer.opened(hello.peer());
         flush();
     }
 
@@ -323,97 +302,23 @@
         return Optional.empty();
     }
 
-    private void assignDueUnlessGreeting(OutFrame frame) {
-        if (frame.type() != Hello.TYPE) {
-            assignDue(frame);
-        }
-    }
-
-    /** Sets when a frame is written. Frames of a link keep their order. */
-    private void assignDue(OutFrame frame) {
-        long due = now();
-        if (peer != null) {
-            LinkConditions.Condition condition = context.conditionTo(peer.zone());
-            due += context.delayNanos(condition);
-            due += context.loses(condition) ? RETRANSMISSION_NANOS : 0;
-        }
-        lastDueNanos = due - lastDueNanos > 0 ? due : lastDueNanos;
-        frame.dueAt(lastDueNanos);
-    }
-
     private void flush() {
+        SocketChannel open = channel;
+        if (phase == Phase.CLOSED || open == null) {
+            return;
+        }
         try {
-            boolean blocked = write();
-            if (key != null && key.isValid()) {
-                int read = SelectionKey.OP_READ;
-                key.interestOps(blocked ? read | SelectionKey.OP_WRITE : read);
+            boolean blocked = writer.write(open);
+            int read = SelectionKey.OP_READ;
+            int wanted = blocked ? read | SelectionKey.OP_WRITE : read;
+            if (key != null && key.isValid() && key.interestOps() != wanted) {
+                key.interestOps(wanted);
             }
         } catch (IOException e) {
             fail(TransportFault.LINK_BROKEN, e);
         }
     }
 
-    /** Writes what is due and returns whether the socket would not take all of it. */
-    private boolean write() throws IOException {
-        OutFrame frame = queue.peek();
-        while (frame != null && channel != null && mayWrite(frame)) {
-            if (channel.write(frame.bytes()) > 0) {
-                lastProgressNanos = now();
-            }
-            if (frame.bytes().hasRemaining()) {
-                return true;
-            }
-            queue.remove();
-            countSent(frame);
-            frame = queue.peek();
-        }
-        return false;
-    }
-
-    private boolean mayWrite(OutFrame frame) {
-        boolean greeting = frame.type() == Hello.TYPE && phase == Phase.GREETING;
-        if (phase != Phase.OPEN && !greeting) {
-            return false;
-        }
-        if (peer != null && context.conditionTo(peer.zone()).cut()) {
-            return false;
-        }
-        long waitNanos = frame.dueNanos() - now();
-        if (waitNanos > 0 && !wakePending) {
-            wakePending = true;
-            context.later(waitNanos, this::wake);
-        }
-        return waitNanos <= 0;
-    }
-
-    private void wake() {
-        wakePending = false;
-        if (phase != Phase.CLOSED) {
-            flush();
-        }
-    }
-
-    private boolean isStalled(long now) {
-        OutFrame head = queue.peek();
-        Duration limit = context.limits().writeStallTimeout();
-        return head != null
-                && passed(head.dueNanos(), limit, now)
-                && passed(lastProgressNanos, limit, now);
-    }
-
-    private void countSent(OutFrame frame) {
-        boolean crosses = peer != null && context.crosses(peer.zone());
-        if (peer == null && expected != null) {
-            crosses = context.crosses(expected.zone());
-        }
-        context.counters()
-                .count(
-                        context.types().name(frame.type()),
-                        TrafficCounters.Direction.SENT,
-                        crosses,
-                        frame.sizeBytes());
-    }
-
     private void countReceived(String name, Peer from, int bodyBytes) {
         context.counters()
                 .count(
--- a/transport/src/main/java/dev/zinniaring/transport/LinkTable.java
+++ b/transport/src/main/java/dev/zinniaring/transport/LinkTable.java
@@ -19,6 +19,7 @@
 /** The links of one network: opens, accepts, finds and replaces them. Used by the I/O thread. */
 final class LinkTable {
     private static final Logger log = LoggerFactory.getLogger(LinkTable.class);
+    private static final long ACCEPT_PAUSE_NANOS = 100_000_000L;
 
     private final LinkContext context;
     private final TokenBucket accepts;
@@ -79,7 +80,10 @@
                 channel = server.accept();
             }
         } catch (IOException e) {
+            // Out of file descriptors, for instance; the socket stays ready, so wait a little.
             log.warn("accepting a link failed", e);
+            key.interestOps(0);
+            context.later(ACCEPT_PAUSE_NANOS, () -> resumeAccepting(key));
         }
     }
 
@@ -147,6 +151,12 @@
         return states;
     }
 
+    private static void resumeAccepting(SelectionKey key) {
+        if (key.isValid()) {
+            key.interestOps(SelectionKey.OP_ACCEPT);
+        }
+    }
+
     private @Nullable Link opening(InetSocketAddress address, @Nullable Peer expected) {
         Link present = opening.get(address);
         if (present != null && present.mayLeadTo(expected)) {
--- a/transport/src/main/java/dev/zinniaring/transport/TcpNetwork.java
+++ b/transport/src/main/java/dev/zinniaring/transport/TcpNetwork.java
@@ -88,15 +88,11 @@
         running = null;
         closing.sweep.cancel();
         IoLoop loop = closing.context.loop();
-        onLoop(
-                loop,
-                () -> {
-                    closing.links.close();
-                    closing.sockets.close();
-                    loop.releaseClosed();
-                    return true;
-                },
-                false);
+        if (loop.isClosed()) {
+            closing.sockets.close();
+        } else {
+            onLoop(loop, () -> release(closing), false);
+        }
         closeOwn(loop);
     }
 
@@ -185,6 +181,13 @@
                 counters.totals());
     }
 
+    private static boolean release(Running closing) {
+        closing.links.close();
+        closing.sockets.close();
+        closing.context.loop().releaseClosed();
+        return true;
+    }
+
     private Running run(IoLoop loop, Sockets sockets) throws TransportException {
         Peer self = new Peer(settings.nodeId(), settings.zone(), sockets.address());
         Hello hello = new Hello(Hello.PROTOCOL, settings.mesh(), self, settings.incarnation());
--- /dev/null
+++ b/transport/src/test/java/dev/zinniaring/transport/FrameDecoderTest.java
@@ -0,0 +1,110 @@
+package dev.zinniaring.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class FrameDecoderTest {
+    private static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+    /** Guards against frames that depend on how the stream is cut into reads. */
+    @Property(tries = 300, seed = "11")
+    void framesComeOutAsTheyWentInHoweverTheStreamIsCut(
+            @ForAll @Size(max = 8) List<@Size(min = 1, max = 300) byte[]> frames,
+            @ForAll @IntRange(min = 1, max = 64) int readBytes)
+            throws TransportException {
+        FrameDecoder decoder = new FrameDecoder(MAX_FRAME_BYTES);
+        List<byte[]> decoded = decode(decoder, join(frames), readBytes);
+        assertThat(decoded).hasSameSizeAs(frames);
+        for (int i = 0; i < frames.size(); i++) {
+            assertThat(decoded.get(i)).isEqualTo(frames.get(i));
+        }
+        assertThat(decoder.isPartial()).isFalse();
+    }
+
+    /** Guards against any failure but the declared one, and against memory for unsent bytes. */
+    @Property(tries = 2_000, seed = "12")
+    void randomBytesAreRefusedOrHeldInBoundedMemory(@ForAll @Size(max = 2_000) byte[] bytes) {
+        FrameDecoder decoder = new FrameDecoder(MAX_FRAME_BYTES);
+        try {
+            decode(decoder, bytes, 97);
+        } catch (TransportException e) {
+            assertThat(e).hasMessageContaining("frame length");
+        }
+        assertThat(decoder.bufferedBytes()).isLessThanOrEqualTo(2 * bytes.length + 4_096);
+    }
+
+    /** Guards against handlers of malformed messages that throw something undeclared. */
+    @Property(tries = 2_000, seed = "13")
+    void mutatedMessagesAreDecodedOrRefused(
+            @ForAll String text, @ForAll byte[] body, @ForAll long mutations) {
+        MessageTypes types = new MessageTypes();
+        types.add(Hello.CODEC, (from, hello) -> {});
+        types.add(Note.CODEC, (from, note) -> {});
+        byte[] bytes = types.encode(new Note(mutations, text, body));
+        Random random = new Random(mutations);
+        for (int i = 0; i < 1 + random.nextInt(4); i++) {
+            bytes[random.nextInt(Math.min(bytes.length, 24))] = (byte) random.nextInt();
+        }
+        int length = random.nextInt(bytes.length + 1);
+        try {
+            types.decode(random.nextBoolean() ? bytes : Arrays.copyOf(bytes, length));
+        } catch (TransportException e) {
+            assertThat(e).hasMessageContaining("malformed");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, -1, Integer.MIN_VALUE, MAX_FRAME_BYTES + 1, Integer.MAX_VALUE})
+    void refusesLengthsOutsideOfTheLimits(int length) {
+        FrameDecoder decoder = new FrameDecoder(MAX_FRAME_BYTES);
+        ByteBuffer in = ByteBuffer.allocate(8).putInt(length).putInt(0).flip();
+        assertThatThrownBy(() -> decoder.next(in))
+                .isInstanceOf(TransportException.class)
+                .hasMessageContaining(String.valueOf(length));
+    }
+
+    /** Guards against allocating what a peer only announces. */
+    @Test
+    void anAnnouncedLengthAloneCostsNoMemory() throws TransportException {
+        FrameDecoder decoder = new FrameDecoder(MAX_FRAME_BYTES);
+        ByteBuffer in = ByteBuffer.allocate(5).putInt(MAX_FRAME_BYTES).put((byte) 1).flip();
+        assertThat(decoder.next(in)).isNull();
+        assertThat(decoder.isPartial()).isTrue();
+        assertThat(decoder.bufferedBytes()).isLessThanOrEqualTo(4_096);
+    }
+
+    private static List<byte[]> decode(FrameDecoder decoder, byte[] stream, int readBytes)
+            throws TransportException {
+        List<byte[]> frames = new ArrayList<>();
+        for (int from = 0; from < stream.length; from += readBytes) {
+            int length = Math.min(readBytes, stream.length - from);
+            ByteBuffer in = ByteBuffer.wrap(stream, from, length);
+            byte[] frame = decoder.next(in);
+            while (frame != null) {
+                frames.add(frame);
+                frame = decoder.next(in);
+            }
+        }
+        return frames;
+    }
+
+    private static byte[] join(List<byte[]> frames) {
+        int total = frames.stream().mapToInt(f -> 4 + f.length).sum();
+        ByteBuffer stream = ByteBuffer.allocate(total);
+        frames.forEach(frame -> stream.putInt(frame.length).put(frame));
+        return stream.array();
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/dev/zinniaring/transport/MessageTypesTest.java
@@ -0,0 +1,88 @@
+package dev.zinniaring.transport;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
+import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+class MessageTypesTest {
+    private final MessageTypes types = new MessageTypes();
+
+    MessageTypesTest() {
+        types.add(Hello.CODEC, (from, hello) -> {});
+        types.add(Note.CODEC, (from, note) -> {});
+    }
+
+    @Property(tries = 300, seed = "21")
+    void notesSurviveTheRoundTrip(@ForAll long number, @ForAll String text, @ForAll byte[] body)
+            throws Exception {
+        Note read = (Note) decode(types.encode(new Note(number, text, body)));
+        assertThat(read.number()).isEqualTo(number);
+        // Lone surrogates have no encoding in UTF-8 and are replaced.
+        assertThat(read.text()).isEqualTo(new String(text.getBytes(UTF_8), UTF_8));
+        assertThat(read.body()).isEqualTo(body);
+    }
+
+    @Property(tries = 300, seed = "22")
+    void greetingsSurviveTheRoundTrip(
+            @ForAll @StringLength(min = 1, max = 63) String name,
+            @ForAll @Size(16) byte[] host,
+            @ForAll @IntRange(max = 65_535) int port,
+            @ForAll long incarnation)
+            throws Exception {
+        String ascii = name.replaceAll("[^a-z]", "x");
+        InetSocketAddress address =
+                new InetSocketAddress(InetAddress.getByAddress(usable(host)), port);
+        Hello hello = new Hello(1, ascii, new Peer(ascii, "z", address), incarnation);
+        assertThat(decode(types.encode(hello))).isEqualTo(hello);
+    }
+
+    /** Guards against a link that breaks because a newer program sends a new type. */
+    @Test
+    void anUnknownTypeIsNotAnError() throws Exception {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packArrayHeader(2).packInt(9_999).packString("new");
+            assertThat(types.decode(out.toByteArray())).isEmpty();
+        }
+    }
+
+    @Test
+    void bytesAfterTheLastFieldAreRefused() {
+        byte[] encoded = types.encode(Note.of(1));
+        byte[] longer = java.util.Arrays.copyOf(encoded, encoded.length + 1);
+        assertThatThrownBy(() -> types.decode(longer)).isInstanceOf(TransportException.class);
+    }
+
+    /** Guards against allocating a field's announced length before its bytes are there. */
+    @Test
+    void aFieldLongerThanItsLimitIsRefusedBeforeItIsAllocated() throws Exception {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packArrayHeader(4).packInt(100).packLong(1).packString("");
+            out.packBinaryHeader(Integer.MAX_VALUE);
+            assertThatThrownBy(() -> types.decode(out.toByteArray()))
+                    .isInstanceOf(TransportException.class)
+                    .cause()
+                    .hasMessageContaining("exceeds the limit");
+        }
+    }
+
+    private Message decode(byte[] bytes) throws TransportException {
+        return types.decode(bytes).orElseThrow().message();
+    }
+
+    /** An IPv4 address in IPv6 form becomes an IPv4 address, which is another value. */
+    private static byte[] usable(byte[] host) throws UnknownHostException {
+        return InetAddress.getByAddress(host).getAddress();
+    }
+}
