--- a/admission/src/main/java/dev/zinniaring/admission/FifoAdmission.java
+++ b/admission/src/main/java/dev/zinniaring/admission/FifoAdmission.java
@@ -153,12 +153,18 @@
     private void grant(AdmissionCallback callback) {
         granted.increment();
         AtomicBoolean released = new AtomicBoolean();
-        callback.granted(
+        Permit permit =
                 (outcome, latencyNanos) -> {
                     if (released.compareAndSet(false, true)) {
                         slots.release();
                         loop.run(this::dispatch);
                     }
-                });
+                };
+        try {
+            callback.granted(permit);
+        } catch (RuntimeException e) {
+            permit.release(RunOutcome.CANCELLED, 0);
+            throw e;
+        }
     }
 }
--- a/admission/src/test/java/dev/zinniaring/admission/FloodTest.java
+++ b/admission/src/test/java/dev/zinniaring/admission/FloodTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.zinniaring.kernel.ManualClock;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -45,9 +46,7 @@
     }
 
     private static FloodSimulation simulate(
-            long seed,
-            java.util.function.Function<ManualClock, AdmissionController> controller,
-            double... loads) {
+            long seed, Function<ManualClock, AdmissionController> controller, double... loads) {
         return new FloodSimulation(seed, DEADLINE_MILLIS, controller, loads).run();
     }
 
--- /dev/null
+++ b/admission/src/test/java/dev/zinniaring/admission/RankedAdmissionTest.java
@@ -0,0 +1,168 @@
+package dev.zinniaring.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dev.zinniaring.kernel.ManualClock;
+import dev.zinniaring.model.Rank;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RankedAdmissionTest {
+    private static final long FAR_NANOS = TimeUnit.SECONDS.toNanos(600);
+    private static final long SERVICE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final List<Rank> RANKS =
+            List.of(
+                    new Rank("urgent", 0, 10, 0),
+                    new Rank("normal", 5, 2, 0),
+                    new Rank("low", 9, 1, 0.1));
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+
+    @Test
+    void theQueueIsServedByRankAndWithinARankByArrival() {
+        AdmissionProbe probe = new AdmissionProbe(builder().ranks(withoutFloors()).build());
+        probe.admit("first", 9, FAR_NANOS);
+        probe.admit("low", 9, FAR_NANOS);
+        probe.admit("normal", 5, FAR_NANOS);
+        probe.admit("urgent1", 0, FAR_NANOS);
+        probe.admit("urgent2", 0, FAR_NANOS);
+        for (int call = 0; call < 4; call++) {
+            probe.release(SERVICE_NANOS);
+        }
+        assertThat(probe.decisions)
+                .containsExactly(
+                        "first granted",
+                        "urgent1 granted",
+                        "urgent2 granted",
+                        "normal granted",
+                        "low granted");
+    }
+
+    @ParameterizedTest(name = "{0} into a queue of {1} and {2}: {3}")
+    @CsvSource({
+        "0, 9, 9, b EVICTED",
+        "0, 5, 9, b EVICTED",
+        "0, 9, 5, a EVICTED",
+        "5, 0, 9, b EVICTED",
+        "7, 0, 9, b EVICTED",
+        "9, 9, 9, new QUEUE_FULL",
+        "5, 0, 5, new QUEUE_FULL",
+        "7, 0, 5, new QUEUE_FULL"
+    })
+    void aFullQueueShedsTheLeastUrgentAndLatest(int rank, int first, int second, String expected) {
+        AdmissionProbe probe =
+                new AdmissionProbe(builder().ranks(withoutFloors()).maxQueued(2).build());
+        probe.admit("running", 0, FAR_NANOS);
+        probe.admit("a", first, FAR_NANOS);
+        probe.admit("b", second, FAR_NANOS);
+        probe.admit("new", rank, FAR_NANOS);
+        assertThat(probe.decisions).containsExactly("running granted", expected);
+    }
+
+    @Test
+    void aRankWithAFloorKeepsAPlaceInAQueueFullOfUrgentCalls() {
+        AdmissionProbe probe = new AdmissionProbe(builder().maxQueued(2).build());
+        probe.admit("running", 0, FAR_NANOS);
+        probe.admit("a", 0, FAR_NANOS);
+        probe.admit("b", 0, FAR_NANOS);
+        probe.admit("low", 9, FAR_NANOS);
+        assertThat(probe.decisions).containsExactly("running granted", "b EVICTED");
+    }
+
+    @Test
+    void aCallThatCannotMakeItsDeadlineBehindTheQueueIsShedAtOnce() {
+        AdmissionProbe probe = new AdmissionProbe(builder().build());
+        probe.admit("measured", 0, FAR_NANOS);
+        probe.release(SERVICE_NANOS);
+        probe.admit("running", 0, FAR_NANOS);
+        probe.admit("queued", 0, FAR_NANOS);
+        probe.admit("hopeless", 0, clock.nanos() + 2 * SERVICE_NANOS);
+        probe.admit("possible", 0, clock.nanos() + 4 * SERVICE_NANOS);
+        assertThat(probe.decisions).endsWith("hopeless DEADLINE");
+    }
+
+    @Test
+    void aQueuedCallIsShedWhenItsDeadlineComesTooNear() {
+        AdmissionController admission = builder().build();
+        AdmissionProbe probe = new AdmissionProbe(admission);
+        probe.admit("measured", 0, FAR_NANOS);
+        probe.release(SERVICE_NANOS);
+        probe.admit("running", 0, FAR_NANOS);
+        probe.admit("queued", 0, clock.nanos() + 3 * SERVICE_NANOS);
+        clock.advance(Duration.ofMillis(25));
+        admission.expire();
+        assertThat(probe.decisions).endsWith("queued DEADLINE");
+    }
+
+    @Test
+    void anEstimateThatIsTooHighDoesNotShedForEver() {
+        AdmissionProbe probe = new AdmissionProbe(builder().build());
+        probe.admit("slow", 0, FAR_NANOS);
+        probe.release(TimeUnit.SECONDS.toNanos(10));
+        probe.admit("short deadline", 0, clock.nanos() + SERVICE_NANOS);
+        assertThat(probe.decisions).endsWith("short deadline granted");
+    }
+
+    @Test
+    void pressureNamesTheLeastUrgentRankThatIsNotShedAndIsForgotten() {
+        AdmissionController admission = builder().ranks(withoutFloors()).maxQueued(1).build();
+        AdmissionProbe probe = new AdmissionProbe(admission);
+        probe.admit("running", 0, FAR_NANOS);
+        probe.admit("low", 9, FAR_NANOS);
+        assertThat(admission.pressure()).isEqualTo(AdmissionController.NO_PRESSURE);
+        probe.admit("normal", 5, FAR_NANOS);
+        assertThat(admission.pressure()).isEqualTo(7);
+        clock.advance(Duration.ofMillis(150));
+        assertThat(admission.pressure()).isEqualTo(AdmissionController.NO_PRESSURE);
+    }
+
+    @Test
+    void theConnectionsBoundTheSlots() {
+        assertThat(builder().slots(50).connections(4).build().state().slots()).isEqualTo(4);
+    }
+
+    @Test
+    void aShrunkLimitIsRespectedOnceRunningCallsHaveEnded() {
+        AdmissionController admission = builder().slots(3).build();
+        AdmissionProbe probe = new AdmissionProbe(admission);
+        for (int call = 0; call < 4; call++) {
+            probe.admit("call" + call, 0, FAR_NANOS);
+        }
+        admission.resize(1);
+        probe.release(SERVICE_NANOS);
+        probe.release(SERVICE_NANOS);
+        assertThat(probe.decisions).hasSize(3);
+        probe.release(SERVICE_NANOS);
+        assertThat(probe.decisions).endsWith("call3 granted");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 'slots must be at least 1, was 0'", "-1, 'slots must be at least 1, was -1'"})
+    void refusesSlotsBelowOne(int slots, String message) {
+        assertThatThrownBy(() -> builder().slots(slots)).hasMessage(message);
+        assertThatThrownBy(() -> builder().build().resize(slots)).hasMessage(message);
+    }
+
+    private RankedAdmission.Builder builder() {
+        return RankedAdmission.builder()
+                .clock(clock)
+                .ranks(RANKS)
+                .slots(1)
+                .maxQueued(10)
+                .maxQueueMillis(1_000);
+    }
+
+    private static List<Rank> withoutFloors() {
+        return List.of(
+                new Rank("urgent", 0, 10, 0),
+                new Rank("normal", 5, 2, 0),
+                new Rank("minor", 7, 2, 0),
+                new Rank("low", 9, 1, 0));
+    }
+}
--- /dev/null
+++ b/admission/src/test/java/dev/zinniaring/admission/RetryTest.java
@@ -0,0 +1,102 @@
+package dev.zinniaring.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RetryTest {
+    private static final RetryPolicy POLICY = new BudgetedRetry(5);
+
+    @ParameterizedTest
+    @CsvSource({
+        // idempotent, maxRetries, attempt, provedNotRun, inbound, shedding, left, retry
+        "true,  2, 1, false, 1, false, 9, true",
+        "false, 2, 1, true,  1, false, 9, true",
+        "false, 2, 1, false, 1, false, 9, false",
+        "true,  2, 2, false, 1, false, 9, true",
+        "true,  2, 3, true,  1, false, 9, false",
+        "true,  0, 1, true,  1, false, 9, false",
+        "true,  2, 1, true,  2, false, 9, false",
+        "true,  2, 1, true,  1, true,  9, false",
+        "true,  2, 1, true,  1, false, 4, false"
+    })
+    void retriesOnlyWhatIsSafeAndUseful(
+            boolean idempotent,
+            int maxRetries,
+            int attempt,
+            boolean provedNotRun,
+            int inbound,
+            boolean shedding,
+            long left,
+            boolean expected) {
+        RetryBudget budget = new RetryBudget(100);
+        budget.called();
+        FailedAttempt failed =
+                new FailedAttempt(
+                        idempotent, maxRetries, attempt, provedNotRun, inbound, shedding, left);
+        assertThat(POLICY.mayRetry(failed, budget)).isEqualTo(expected);
+        assertThat(budget.tokens()).isEqualTo(expected ? 0 : 1);
+    }
+
+    @Test
+    void anEmptyBudgetForbidsRetries() {
+        FailedAttempt failed = new FailedAttempt(true, 2, 1, true, 1, false, 9);
+        assertThat(POLICY.mayRetry(failed, new RetryBudget(10))).isFalse();
+    }
+
+    @Test
+    void aBudgetOfTenPercentAllowsOneRetryInTenCalls() {
+        RetryBudget budget = new RetryBudget(10);
+        for (int call = 0; call < 10; call++) {
+            budget.called();
+        }
+        assertThat(budget.spend()).isTrue();
+        assertThat(budget.spend()).isFalse();
+    }
+
+    @Test
+    void aChainOfTenFailingHopsMultipliesAttemptsOnlyInTheBaseline() {
+        assertThat(attemptsAtTheEnd(new EveryHopRetry(), 10, 2)).isEqualTo(59_049);
+        assertThat(attemptsAtTheEnd(POLICY, 10, 2)).isEqualTo(3);
+    }
+
+    /** Counts the calls of the last hop when that one always fails and its answer is unknown. */
+    private static int attemptsAtTheEnd(RetryPolicy policy, int hops, int maxRetries) {
+        RetryBudget budget = new RetryBudget(100);
+        for (int call = 0; call < 20; call++) {
+            budget.called();
+        }
+        return attempts(policy, budget, hops, maxRetries, 1);
+    }
+
+    private static int attempts(
+            RetryPolicy policy, RetryBudget budget, int hops, int maxRetries, int inbound) {
+        if (hops == 0) {
+            return 1;
+        }
+        int total = 0;
+        int attempt = 0;
+        boolean retry = true;
+        while (retry) {
+            attempt++;
+            int carried = Math.max(inbound, attempt);
+            total += attempts(policy, budget, hops - 1, maxRetries, carried);
+            // An answer of a server that failed itself is passed on; only the baseline repeats it.
+            boolean sawFailure = hops == 1 || policy instanceof EveryHopRetry;
+            FailedAttempt failed =
+                    new FailedAttempt(true, maxRetries, attempt, false, inbound, false, 9);
+            retry = sawFailure && policy.mayRetry(failed, budget);
+        }
+        return total;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-1", "101"})
+    void refusesAPercentageOutOfBounds(int percent) {
+        assertThatThrownBy(() -> new RetryBudget(percent))
+                .hasMessage("percent must be from 0 to 100, was " + percent);
+    }
+}
--- a/routing/src/main/java/dev/zinniaring/routing/OutlierDetector.java
+++ b/routing/src/main/java/dev/zinniaring/routing/OutlierDetector.java
@@ -50,7 +50,7 @@
             }
             case FAILED -> failed(serverId, stats);
             case CONNECT_FAILED -> outliers.avoid(serverId);
-            case REFUSED, CANCELLED -> {}
+            default -> {}
         }
     }
 
