--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointDistribution.java
@@ -35,7 +35,8 @@
     private static final Duration SWEEP = Duration.ofSeconds(1);
 
     private final Context context;
-    private final LocalServers local;
+    private final String callAddress;
+    private volatile @Nullable LocalServers servers;
     private final EndpointStore store = new EndpointStore();
     private final EndpointOutbox outbox;
     private final EndpointRepair repair;
@@ -46,14 +47,7 @@
 
     private EndpointDistribution(Builder builder) {
         context = builder.context();
-        Network network = context.network();
-        String callAddress = Objects.requireNonNull(builder.callAddress, "callAddress");
-        local =
-                new LocalServers(
-                        network.self().nodeId(),
-                        network.self().zone(),
-                        callAddress,
-                        network.incarnation());
+        callAddress = Objects.requireNonNull(builder.callAddress, "callAddress");
         outbox = new EndpointOutbox(context);
         repair = new EndpointRepair(context, store);
         liveness = new LivenessFilter(context.clock());
@@ -70,6 +64,9 @@
 
     /** Begins to spread and learn. The network must have started. */
     public void start() {
+        Network network = context.network();
+        Peer self = network.self();
+        servers = new LocalServers(self.nodeId(), self.zone(), callAddress, network.incarnation());
         running = true;
         Timings timings = context.timings();
         timers.add(context.every(timings.endpointBatch(), outbox::flush));
@@ -97,12 +94,12 @@
 
     @Override
     public void announce(LocalServer server) {
-        local.announce(server).ifPresent(this::spread);
+        local().announce(server).ifPresent(this::spread);
     }
 
     @Override
     public void withdraw(String serverId) {
-        local.withdraw(serverId).ifPresent(this::spread);
+        local().withdraw(serverId).ifPresent(this::spread);
     }
 
     /** Returns what the state dump shows; the figures may be a moment old. */
@@ -116,6 +113,11 @@
                 repair.refusedPulls());
     }
 
+    /** Returns how many handlers and timers have thrown. */
+    long taskFailures() {
+        return context.mailbox().failures();
+    }
+
     private <M extends Message> void handle(Wire.Codec<M> codec, BiConsumer<Peer, M> handler) {
         context.handle(
                 codec,
@@ -126,6 +128,14 @@
                 });
     }
 
+    private LocalServers local() {
+        LocalServers local = servers;
+        if (local == null) {
+            throw new IllegalStateException("endpoints must be started first");
+        }
+        return local;
+    }
+
     /** The view changes at once, so that the caller sees its own write. */
     private void spread(EndpointRecord record) {
         store.merge(List.of(record), context.clock().nanos());
@@ -146,6 +156,7 @@
     }
 
     private void learn(Peer from, EndpointBatch batch, List<EndpointRecord> records) {
+        LocalServers local = local();
         local.overrule(records).forEach(this::spread);
         List<EndpointRecord> usable =
                 records.stream()
@@ -164,6 +175,10 @@
     }
 
     private void sweep() {
+        LocalServers local = servers;
+        if (local == null) {
+            return;
+        }
         int expired =
                 store.expire(
                         record -> !local.owns(record) && liveness.drops(context.view(), record),
--- a/distribution/src/main/java/dev/zinniaring/distribution/Mailbox.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Mailbox.java
@@ -4,6 +4,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -14,6 +15,7 @@
     private final Scheduler scheduler;
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicInteger waiting = new AtomicInteger();
+    private final LongAdder failures = new LongAdder();
 
     Mailbox(Scheduler scheduler) {
         this.scheduler = scheduler;
@@ -26,6 +28,11 @@
         }
     }
 
+    /** Returns how many tasks have thrown; they are logged and do not stop those after them. */
+    long failures() {
+        return failures.sum();
+    }
+
     private void drain() {
         do {
             runNext();
@@ -40,6 +47,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
+            failures.increment();
             log.error("distribution task failed", e);
         }
     }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionDistribution.java
@@ -2,7 +2,6 @@
 
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.Scheduler;
-import dev.zinniaring.kernel.Scheduler.Cancellable;
 import dev.zinniaring.membership.Membership;
 import dev.zinniaring.model.Version;
 import dev.zinniaring.publish.VersionSource;
@@ -10,19 +9,14 @@
 import dev.zinniaring.transport.Network;
 import dev.zinniaring.transport.Peer;
 import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Brings the accepted versions to this node and puts them in force, never going back, not even
@@ -33,34 +27,28 @@
  *         .network(network).membership(membership).source(publisher)
  *         .seeds(seedAddresses).ownSeed(true).scheduler(scheduler)
  *         .platformExecutor(executor).build(); // before the network starts
- * versions.start();
+ * versions.start(); // after it
  * }</pre>
  */
 public final class VersionDistribution implements Versions {
-    private static final Logger log = LoggerFactory.getLogger(VersionDistribution.class);
-
     private final Context context;
-    private final Seeds seeds;
+    private final VersionSource source;
+    private final Executor platformExecutor;
+    private final List<InetSocketAddress> seeds;
+    private final boolean ownSeed;
     private final VersionState state = new VersionState();
-    private final SeedDesk desk;
-    private final HeadReader reader;
-    private final FloorFinder floors;
-    private final Recorder recorder;
-    private final VersionSpread spread;
     private final List<Consumer<Version>> listeners = new CopyOnWriteArrayList<>();
-    private final List<Cancellable> timers = new ArrayList<>();
-    private volatile boolean running;
+    private volatile @Nullable VersionEngine engine;
 
     private VersionDistribution(Builder builder) {
         context = builder.context();
-        seeds = new Seeds(builder.seeds);
-        desk = new SeedDesk(context, seeds, builder.ownSeed);
-        VersionSource source = Objects.requireNonNull(builder.source, "source");
-        Executor executor = Objects.requireNonNull(builder.platformExecutor, "platformExecutor");
-        spread = new VersionSpread(context, state, this::accepted);
-        recorder = new Recorder(context, seeds, desk, source, executor, spread::recordedHere);
-        reader = new HeadReader(source, executor, context.mailbox(), state, new Found());
-        floors = new FloorFinder(context, seeds, desk, reader, this::floorFound);
+        source = Objects.requireNonNull(builder.source, "source");
+        platformExecutor = Objects.requireNonNull(builder.platformExecutor, "platformExecutor");
+        seeds = builder.seeds;
+        ownSeed = builder.ownSeed;
+        if (seeds.isEmpty() && !ownSeed) {
+            throw new IllegalArgumentException("seeds must hold at least one address");
+        }
         registerMessages();
     }
 
@@ -69,25 +57,30 @@
         return new Builder();
     }
 
-    /** Begins to follow the platform and the peers. The network must have started. */
+    /**
+     * Begins to follow the platform and the peers. The network must have started.
+     *
+     * @throws IllegalArgumentException if this node is to be a seed and its control address is not
+     *     among the seeds
+     */
     public void start() {
-        running = true;
-        Timings timings = context.timings();
-        timers.add(context.every(timings.headPoll(), this::poll));
-        timers.add(context.every(timings.digest(), spread::sendDigests));
-        context.mailbox().post(floors::start);
-        context.mailbox().post(this::poll);
-        context.after(context.jitter(timings.startJitter()), this::pullUntilServed);
-        Duration bodyAfter = timings.bodyAfter();
-        context.after(bodyAfter.plus(context.jitter(bodyAfter)), this::readUntilServed);
+        InetSocketAddress self = context.network().self().controlAddress();
+        Seeds names = new Seeds(seeds.isEmpty() ? List.of(self) : seeds);
+        SeedDesk desk = new SeedDesk(context, names, ownSeed);
+        VersionEngine started =
+                new VersionEngine(
+                        context, names, desk, state, source, platformExecutor, this::announce);
+        engine = started;
+        started.start();
     }
 
     /** Stops following. What is in force stays readable. */
     public void stop() {
-        running = false;
-        timers.forEach(Cancellable::cancel);
-        context.mailbox().post(floors::stop);
-        context.mailbox().post(recorder::stop);
+        VersionEngine running = engine;
+        engine = null;
+        if (running != null) {
+            running.stop();
+        }
     }
 
     @Override
@@ -102,121 +95,46 @@
 
     /** Returns what the state dump shows; the figures may be a moment old. */
     public VersionStatus state() {
-        VersionState.Snapshot now = state.now();
-        Version inForce = now.inForce();
-        VersionState.Refused refused = now.refused();
-        return new VersionStatus(
-                inForce == null ? 0 : inForce.number(),
-                inForce == null ? "" : inForce.hash(),
-                now.heldNumber(),
-                now.floor().orElse(-1),
-                waitingFor(now),
-                refused == null ? 0 : refused.number(),
-                refused == null ? "" : refused.reason(),
-                desk.isSeed(),
-                desk.mark(),
-                desk.confirmed(),
-                recorder.recording(),
-                recorder.acknowledgements(),
-                state.conflicts(),
-                reader.reads(),
-                reader.failures(),
-                spread.refusedBodies(),
-                List.copyOf(seeds.names()));
+        VersionEngine running = engine;
+        return running == null ? VersionStatus.stopped(state) : running.status();
     }
 
-    private static String waitingFor(VersionState.Snapshot now) {
-        if (now.inForce() != null) {
-            return "";
-        }
-        if (now.floor().isEmpty()) {
-            return "floor from a majority of seeds or from the platform";
+    /** Returns how many handlers and timers have thrown. */
+    long taskFailures() {
+        return context.mailbox().failures();
+    }
+
+    private void announce(Version version) {
+        for (Consumer<Version> listener : listeners) {
+            listener.accept(version);
         }
-        long floor = now.floor().getAsLong();
-        return floor == 0 ? "first version" : "recorded version of at least " + floor;
     }
 
     private void registerMessages() {
-        handle(RecordRequest.CODEC, desk::onRecord);
-        handle(RecordAck.CODEC, recorder::onAck);
-        handle(MarkQuery.CODEC, desk::onQuery);
-        handle(MarkReply.CODEC, floors::onReply);
-        handle(VersionPush.CODEC, spread::onPush);
-        handle(VersionPull.CODEC, spread::onPull);
-        handle(VersionBody.CODEC, spread::onBody);
-        handle(VersionDigest.CODEC, spread::onDigest);
+        handle(RecordRequest.CODEC, VersionEngine::onRecord);
+        handle(RecordAck.CODEC, VersionEngine::onAck);
+        handle(MarkQuery.CODEC, VersionEngine::onQuery);
+        handle(MarkReply.CODEC, VersionEngine::onReply);
+        handle(VersionPush.CODEC, VersionEngine::onPush);
+        handle(VersionPull.CODEC, VersionEngine::onPull);
+        handle(VersionBody.CODEC, VersionEngine::onBody);
+        handle(VersionDigest.CODEC, VersionEngine::onDigest);
     }
 
-    private <M extends Message> void handle(Wire.Codec<M> codec, BiConsumer<Peer, M> handler) {
+    private <M extends Message> void handle(Wire.Codec<M> codec, Handler<M> handler) {
         context.handle(
                 codec,
                 (from, message) -> {
-                    if (running) {
-                        handler.accept(from, message);
+                    VersionEngine running = engine;
+                    if (running != null) {
+                        handler.on(running, from, message);
                     }
                 });
     }
 
-    private void poll() {
-        if (running && context.view().isReader()) {
-            reader.readVersion();
-        }
-    }
-
-    private void pullUntilServed() {
-        if (!running || state.now().inForce() != null) {
-            return;
-        }
-        spread.pullAtStart();
-        Duration retry = context.timings().retry();
-        context.after(retry.plus(context.jitter(retry)), this::pullUntilServed);
-    }
-
-    private void readUntilServed() {
-        if (!running || state.now().inForce() != null) {
-            return;
-        }
-        reader.readVersion();
-        Duration again = context.timings().bodyAfter();
-        context.after(again.plus(context.jitter(again)), this::readUntilServed);
-    }
-
-    private void floorFound(long floor) {
-        boolean served = state.floor(floor);
-        Version inForce = state.now().inForce();
-        if (served && inForce != null) {
-            announce(inForce);
-        }
-    }
-
-    private void accepted(HeldVersion version, VersionState.Outcome outcome) {
-        recorder.held(version.number());
-        if (outcome == VersionState.Outcome.IN_FORCE) {
-            announce(version.version());
-        }
-    }
-
-    private void announce(Version version) {
-        floors.served();
-        log.info("version {} is in force, hash {}", version.number(), version.hash());
-        for (Consumer<Version> listener : listeners) {
-            listener.accept(version);
-        }
-    }
-
-    /** Takes what was read from the platform. */
-    private final class Found implements HeadReader.Listener {
-        @Override
-        public void head(long number) {
-            floors.head(number);
-        }
-
-        @Override
-        public void found(HeldVersion version) {
-            if (running && version.number() > state.now().heldNumber()) {
-                recorder.record(version);
-            }
-        }
+    /** Hands a message to the engine. */
+    private interface Handler<M> {
+        void on(VersionEngine engine, Peer from, M message);
     }
 
     /** Collects the parts of a {@link VersionDistribution}. */
@@ -252,7 +170,10 @@
             return this;
         }
 
-        /** Sets the control addresses of all seeds of the mesh, at least one. */
+        /**
+         * Sets the control addresses of all seeds of the mesh. May stay empty where this node is
+         * the only seed.
+         */
         public Builder seeds(List<InetSocketAddress> value) {
             seeds = List.copyOf(value);
             return this;
@@ -298,8 +219,7 @@
          * Returns the distribution and registers its messages with the network.
          *
          * @throws NullPointerException if a part is missing
-         * @throws IllegalArgumentException if there are no seeds, or this node is a seed that is
-         *     not among them
+         * @throws IllegalArgumentException if there are no seeds
          */
         public VersionDistribution build() {
             return new VersionDistribution(this);
--- /dev/null
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
@@ -0,0 +1,171 @@
+package dev.zinniaring.distribution;
+
+import dev.zinniaring.kernel.Scheduler.Cancellable;
+import dev.zinniaring.model.Version;
+import dev.zinniaring.publish.VersionSource;
+import dev.zinniaring.transport.Peer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The running parts of a {@link VersionDistribution} and what passes between them. */
+final class VersionEngine {
+    private static final Logger log = LoggerFactory.getLogger(VersionEngine.class);
+
+    private final Context context;
+    private final Seeds seeds;
+    private final SeedDesk desk;
+    private final VersionState state;
+    private final Consumer<Version> listener;
+    private final HeadReader reader;
+    private final FloorFinder floors;
+    private final Recorder recorder;
+    private final VersionSpread spread;
+    private final List<Cancellable> timers = new ArrayList<>();
+    private volatile boolean running;
+
+    VersionEngine(
+            Context context,
+            Seeds seeds,
+            SeedDesk desk,
+            VersionState state,
+            VersionSource source,
+            Executor executor,
+            Consumer<Version> listener) {
+        this.context = context;
+        this.seeds = seeds;
+        this.desk = desk;
+        this.state = state;
+        this.listener = listener;
+        spread = new VersionSpread(context, state, this::accepted);
+        recorder = new Recorder(context, seeds, desk, source, executor, spread::recordedHere);
+        reader = new HeadReader(source, executor, context.mailbox(), state, new Found());
+        floors = new FloorFinder(context, seeds, desk, reader, this::floorFound);
+    }
+
+    void start() {
+        running = true;
+        Timings timings = context.timings();
+        timers.add(context.every(timings.headPoll(), this::poll));
+        timers.add(context.every(timings.digest(), spread::sendDigests));
+        context.mailbox().post(floors::start);
+        context.mailbox().post(this::poll);
+        context.after(context.jitter(timings.startJitter()), this::pullUntilServed);
+        Duration bodyAfter = timings.bodyAfter();
+        context.after(bodyAfter.plus(context.jitter(bodyAfter)), this::readUntilServed);
+    }
+
+    void stop() {
+        running = false;
+        timers.forEach(Cancellable::cancel);
+        context.mailbox().post(floors::stop);
+        context.mailbox().post(recorder::stop);
+    }
+
+    void onRecord(Peer from, RecordRequest request) {
+        desk.onRecord(from, request);
+    }
+
+    void onAck(Peer from, RecordAck ack) {
+        recorder.onAck(from, ack);
+    }
+
+    void onQuery(Peer from, MarkQuery query) {
+        desk.onQuery(from, query);
+    }
+
+    void onReply(Peer from, MarkReply reply) {
+        floors.onReply(from, reply);
+    }
+
+    void onPush(Peer from, VersionPush push) {
+        spread.onPush(from, push);
+    }
+
+    void onPull(Peer from, VersionPull pull) {
+        spread.onPull(from, pull);
+    }
+
+    void onBody(Peer from, VersionBody body) {
+        spread.onBody(from, body);
+    }
+
+    void onDigest(Peer from, VersionDigest digest) {
+        spread.onDigest(from, digest);
+    }
+
+    VersionStatus status() {
+        return VersionStatus.of(
+                state,
+                desk,
+                recorder.recording(),
+                recorder.acknowledgements(),
+                reader,
+                spread.refusedBodies(),
+                List.copyOf(seeds.names()));
+    }
+
+    private void poll() {
+        if (running && context.view().isReader()) {
+            reader.readVersion();
+        }
+    }
+
+    private void pullUntilServed() {
+        if (!running || state.now().inForce() != null) {
+            return;
+        }
+        spread.pullAtStart();
+        Duration retry = context.timings().retry();
+        context.after(retry.plus(context.jitter(retry)), this::pullUntilServed);
+    }
+
+    private void readUntilServed() {
+        if (!running || state.now().inForce() != null) {
+            return;
+        }
+        reader.readVersion();
+        Duration again = context.timings().bodyAfter();
+        context.after(again.plus(context.jitter(again)), this::readUntilServed);
+    }
+
+    private void floorFound(long floor) {
+        boolean served = state.floor(floor);
+        Version inForce = state.now().inForce();
+        if (served && inForce != null) {
+            announce(inForce);
+        }
+    }
+
+    private void accepted(HeldVersion version, VersionState.Outcome outcome) {
+        recorder.held(version.number());
+        if (outcome == VersionState.Outcome.IN_FORCE) {
+            announce(version.version());
+        }
+    }
+
+    private void announce(Version version) {
+        floors.served();
+        log.info("version {} is in force, hash {}", version.number(), version.hash());
+        listener.accept(version);
+    }
+
+    /** Takes what was read from the platform. */
+    private final class Found implements HeadReader.Listener {
+        @Override
+        public void head(long number) {
+            floors.head(number);
+        }
+
+        @Override
+        public void found(HeldVersion version) {
+            if (running && version.number() > state.now().heldNumber()) {
+                recorder.record(version);
+            }
+        }
+    }
+}
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionStatus.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionStatus.java
@@ -1,6 +1,8 @@
 package dev.zinniaring.distribution;
 
+import dev.zinniaring.model.Version;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What a node shows of its versions in the state dump.
@@ -40,4 +42,50 @@
         long platformReads,
         long platformFailures,
         long refusedBodies,
-        List<String> seeds) {}
+        List<String> seeds) {
+    static VersionStatus stopped(VersionState state) {
+        return of(state, null, 0, 0, null, 0, List.of());
+    }
+
+    static VersionStatus of(
+            VersionState state,
+            @Nullable SeedDesk desk,
+            long recording,
+            int acknowledgements,
+            @Nullable HeadReader reader,
+            long refusedBodies,
+            List<String> seeds) {
+        VersionState.Snapshot now = state.now();
+        Version inForce = now.inForce();
+        VersionState.Refused refused = now.refused();
+        return new VersionStatus(
+                inForce == null ? 0 : inForce.number(),
+                inForce == null ? "" : inForce.hash(),
+                now.heldNumber(),
+                now.floor().orElse(-1),
+                waitingFor(now),
+                refused == null ? 0 : refused.number(),
+                refused == null ? "" : refused.reason(),
+                desk != null && desk.isSeed(),
+                desk == null ? 0 : desk.mark(),
+                desk != null && desk.confirmed(),
+                recording,
+                acknowledgements,
+                state.conflicts(),
+                reader == null ? 0 : reader.reads(),
+                reader == null ? 0 : reader.failures(),
+                refusedBodies,
+                seeds);
+    }
+
+    private static String waitingFor(VersionState.Snapshot now) {
+        if (now.inForce() != null) {
+            return "";
+        }
+        if (now.floor().isEmpty()) {
+            return "floor from a majority of seeds or from the platform";
+        }
+        long floor = now.floor().getAsLong();
+        return floor == 0 ? "first version" : "recorded version of at least " + floor;
+    }
+}
--- a/distribution/src/test/java/dev/zinniaring/distribution/SimMesh.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimMesh.java
@@ -39,6 +39,10 @@
     final Map<String, SimNode> nodes = new TreeMap<>();
     final Set<Set<String>> cutPairs = new HashSet<>();
     final Map<String, Integer> crossZoneBytes = new TreeMap<>();
+
+    /** Whether the next node that puts a version in force dies before it has told anyone. */
+    boolean crashNextActivation;
+
     double loss;
     double duplicates;
     int maxDelayMillis = 5;
@@ -76,6 +80,12 @@
         node.start();
     }
 
+    void startIfDown(String nodeId) {
+        if (!nodes.containsKey(nodeId)) {
+            start(nodeId);
+        }
+    }
+
     /** Ends a node's life; all its memory is lost. */
     void crash(String nodeId) {
         SimNode node = nodes.remove(nodeId);
@@ -106,6 +116,7 @@
     }
 
     void heal() {
+        crashNextActivation = false;
         cutPairs.clear();
         platform.cutZones.clear();
         loss = 0;
@@ -141,10 +152,10 @@
             crossZoneBytes.merge(
                     from.peer.zone() + ">" + target.zone(), bytes.length, Integer::sum);
         }
-        if (random.nextDouble() >= loss) {
+        if (!from.muted && random.nextDouble() >= loss) {
             deliverLater(from, target, type, bytes);
         }
-        if (random.nextDouble() < duplicates) {
+        if (!from.muted && random.nextDouble() < duplicates) {
             deliverLater(from, target, type, bytes);
         }
     }
@@ -192,5 +203,11 @@
         assertThat(TablesCodec.hash(TablesCodec.encode(version.tables())))
                 .isEqualTo(version.hash());
         inForce.put(nodeId, version.number());
+        if (crashNextActivation) {
+            crashNextActivation = false;
+            nodes.get(nodeId).muted = true;
+            scheduler.after(Duration.ofMillis(1), () -> crash(nodeId));
+            scheduler.after(Duration.ofMillis(2 + random.nextInt(500)), () -> startIfDown(nodeId));
+        }
     }
 }
--- a/distribution/src/test/java/dev/zinniaring/distribution/SimNode.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimNode.java
@@ -33,6 +33,7 @@
     private final List<Runnable> held = new ArrayList<>();
     boolean dead;
     boolean paused;
+    boolean muted;
 
     private record Receiver<M extends Message>(MessageCodec<M> codec, Handler<M> handler) {
         void receive(Peer from, byte[] bytes) {
