--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/AdmissionWait.java
@@ -0,0 +1,79 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.admission.AdmissionCallback;
+import dev.zinniaring.admission.AdmissionController;
+import dev.zinniaring.admission.CallInfo;
+import dev.zinniaring.admission.Permit;
+import dev.zinniaring.admission.RunOutcome;
+import dev.zinniaring.admission.ShedReason;
+import dev.zinniaring.admission.Ticket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** Waits on the calling thread for the admission of one call. */
+final class AdmissionWait implements AdmissionCallback {
+    /** Admission sheds queued calls at their deadline by a timer that may be late by this much. */
+    private static final long TIMER_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private final CountDownLatch decided = new CountDownLatch(1);
+    private volatile @Nullable Permit permit;
+    private volatile @Nullable ShedReason shed;
+
+    /**
+     * Returns the permit of a call.
+     *
+     * @param leftNanos time left until the deadline
+     * @throws CallException if the call was shed
+     */
+    static Permit admit(
+            AdmissionController admission, CallInfo call, long leftNanos, Cancellation cancellation)
+            throws CallException {
+        AdmissionWait wait = new AdmissionWait();
+        Ticket ticket = admission.admit(call, wait);
+        if (wait.decided.getCount() > 0) {
+            cancellation.onCancel(ticket::cancel);
+            wait.await(ticket, leftNanos);
+        }
+        return wait.result(cancellation);
+    }
+
+    @Override
+    public void granted(Permit granted) {
+        permit = granted;
+        decided.countDown();
+    }
+
+    @Override
+    public void shed(ShedReason reason) {
+        shed = reason;
+        decided.countDown();
+    }
+
+    private void await(Ticket ticket, long leftNanos) throws CallException {
+        try {
+            if (!decided.await(leftNanos + TIMER_SLACK_NANOS, TimeUnit.NANOSECONDS)) {
+                // A grant may cross the cancel; either way the callback is called.
+                ticket.cancel();
+                decided.await();
+            }
+        } catch (InterruptedException e) {
+            ticket.cancel();
+            Thread.currentThread().interrupt();
+            throw CallException.notRun(503, "stopping");
+        }
+    }
+
+    private Permit result(Cancellation cancellation) throws CallException {
+        Permit granted = permit;
+        if (granted == null) {
+            ShedReason reason = shed;
+            throw CallException.notRun(503, reason == null ? "shed" : reason.word());
+        }
+        if (cancellation.cancelled()) {
+            granted.release(RunOutcome.CANCELLED, 0);
+            throw CallException.notRun(503, ShedReason.CANCELLED.word());
+        }
+        return granted;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/CallBody.java
@@ -0,0 +1,155 @@
+package dev.zinniaring.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Arrays;
+import okhttp3.MediaType;
+import okhttp3.RequestBody;
+import okio.BufferedSink;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The body of a request: a kept start and, if it is longer, a rest that can be streamed once.
+ *
+ * <pre>{@code
+ * CallBody body = CallBody.read(stream, lengthBytes, maxBytes);
+ * if (body.repeatable()) { ... a retry may send it again ... }
+ * }</pre>
+ */
+final class CallBody {
+    /** Bytes of a body that are kept, so that a call can be sent again. */
+    static final int KEPT_BYTES = 64 * 1024;
+
+    private static final int CHUNK_BYTES = 16 * 1024;
+    private static final byte[] EMPTY = new byte[0];
+    private static final int TOO_LARGE = 413;
+
+    static final CallBody NONE = new CallBody(EMPTY, null, 0, 0);
+
+    private final byte[] start;
+    private final @Nullable InputStream rest;
+    private final long lengthBytes;
+    private final long maxBytes;
+    private boolean restTaken;
+
+    private CallBody(byte[] start, @Nullable InputStream rest, long lengthBytes, long maxBytes) {
+        this.start = start;
+        this.rest = rest;
+        this.lengthBytes = lengthBytes;
+        this.maxBytes = maxBytes;
+    }
+
+    /**
+     * Reads the kept start of a body.
+     *
+     * @param lengthBytes the declared length, or -1 if it is chunked
+     * @throws BodyException if it breaks off or is too large
+     */
+    static CallBody read(InputStream in, long lengthBytes, long maxBytes) throws BodyException {
+        if (lengthBytes == 0) {
+            return NONE;
+        }
+        if (lengthBytes > maxBytes) {
+            throw new BodyException(TOO_LARGE, "larger than " + maxBytes + " bytes");
+        }
+        try {
+            byte[] start = in.readNBytes(KEPT_BYTES);
+            if (start.length > maxBytes) {
+                throw new BodyException(TOO_LARGE, "larger than " + maxBytes + " bytes");
+            }
+            boolean whole = start.length < KEPT_BYTES || start.length == lengthBytes;
+            return new CallBody(start, whole ? null : in, lengthBytes, maxBytes);
+        } catch (BodyException e) {
+            throw e;
+        } catch (IOException e) {
+            throw new BodyException(e);
+        }
+    }
+
+    /** Returns the kept start; not to be changed. */
+    byte[] start() {
+        return start;
+    }
+
+    /** Returns all bytes, reading those that are not kept. */
+    byte[] allBytes() throws IOException {
+        if (rest == null) {
+            return start;
+        }
+        okio.Buffer all = new okio.Buffer();
+        forRequest().writeTo(all);
+        return all.readByteArray();
+    }
+
+    boolean isEmpty() {
+        return start.length == 0;
+    }
+
+    /** Returns whether it can be sent now, for the first time or again. */
+    boolean repeatable() {
+        return rest == null || !restTaken;
+    }
+
+    /** Returns whether all of it was read from the caller. */
+    boolean whole() {
+        return rest == null;
+    }
+
+    /** Returns the body for a request. */
+    RequestBody forRequest() {
+        return rest == null ? RequestBody.create(start) : new Streamed(rest);
+    }
+
+    private final class Streamed extends RequestBody {
+        private final InputStream in;
+
+        Streamed(InputStream in) {
+            this.in = in;
+        }
+
+        @Override
+        public @Nullable MediaType contentType() {
+            return null;
+        }
+
+        @Override
+        public long contentLength() {
+            return lengthBytes;
+        }
+
+        @Override
+        public boolean isOneShot() {
+            return true;
+        }
+
+        @Override
+        public void writeTo(BufferedSink sink) throws IOException {
+            restTaken = true;
+            sink.write(start);
+            byte[] chunk = new byte[CHUNK_BYTES];
+            long sentBytes = start.length;
+            int count = readChunk(chunk);
+            while (count >= 0) {
+                sentBytes += count;
+                if (sentBytes > maxBytes) {
+                    throw new BodyException(TOO_LARGE, "larger than " + maxBytes + " bytes");
+                }
+                sink.write(chunk, 0, count);
+                count = readChunk(chunk);
+            }
+        }
+
+        private int readChunk(byte[] chunk) throws BodyException {
+            try {
+                return in.read(chunk);
+            } catch (IOException e) {
+                throw new BodyException(e);
+            }
+        }
+    }
+
+    @Override
+    public String toString() {
+        return "CallBody[" + (whole() ? Arrays.hashCode(start) : "streamed") + "]";
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/CallContexts.java
@@ -0,0 +1,109 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.Rank;
+import dev.zinniaring.model.Tables;
+import dev.zinniaring.routing.RouteMatch;
+import java.util.concurrent.ThreadLocalRandom;
+import org.jspecify.annotations.Nullable;
+
+/** Reads what the mesh's headers say of a call. */
+final class CallContexts {
+    /** Depth up to which chains of calls are supported. */
+    static final int MAX_DEPTH = 28;
+
+    private static final int MAX_ID_CHARS = 128;
+    private static final int LEAST_URGENT = Integer.MAX_VALUE;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final Clock clock;
+
+    CallContexts(Clock clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * Reads a call that came to this node as its entry node.
+     *
+     * @throws CallException if it is too deep, too late or malformed
+     */
+    CallContext entry(Exchange exchange, RouteMatch match, Tables tables) throws CallException {
+        long deadlineMillis =
+                Math.min(
+                        match.route().deadlineMillis(),
+                        exchange.number(CallHeaders.DEADLINE_MS, Integer.MAX_VALUE));
+        String carried = exchange.header(CallHeaders.RANK);
+        Rank known = carried == null ? null : tables.ranks().get(carried);
+        Rank rank = known == null ? match.rank() : known;
+        return checked(
+                new CallContext(
+                        exchange,
+                        CallBody.NONE,
+                        callId(exchange),
+                        match.route().name(),
+                        rank.name(),
+                        rank.order(),
+                        smallNumber(exchange, CallHeaders.DEPTH, 0) + 1,
+                        Math.max(1, smallNumber(exchange, CallHeaders.ATTEMPT, 1)),
+                        clock.nanos() + deadlineMillis * NANOS_PER_MILLI,
+                        key(exchange)));
+    }
+
+    /**
+     * Reads a call that another node sent to one of this node's backend servers.
+     *
+     * @param route the route that matches here, or an empty text
+     */
+    CallContext owned(Exchange exchange, String route, Tables tables) throws CallException {
+        String carried = exchange.header(CallHeaders.RANK);
+        Rank known = carried == null ? null : tables.ranks().get(carried);
+        long deadlineMillis = exchange.number(CallHeaders.DEADLINE_MS, 0);
+        return checked(
+                new CallContext(
+                        exchange,
+                        CallBody.NONE,
+                        callId(exchange),
+                        route,
+                        carried == null ? "" : carried,
+                        known == null ? LEAST_URGENT : known.order(),
+                        smallNumber(exchange, CallHeaders.DEPTH, 0),
+                        Math.max(1, smallNumber(exchange, CallHeaders.ATTEMPT, 1)),
+                        clock.nanos()
+                                + Math.min(deadlineMillis, Integer.MAX_VALUE) * NANOS_PER_MILLI,
+                        key(exchange)));
+    }
+
+    private CallContext checked(CallContext call) throws CallException {
+        if (call.depth() > MAX_DEPTH) {
+            throw CallException.notRun(400, "too-deep");
+        }
+        if (call.deadlineNanos() - clock.nanos() <= 0) {
+            throw CallException.notRun(503, "deadline");
+        }
+        return call;
+    }
+
+    private static int smallNumber(Exchange exchange, String header, int fallback) {
+        return (int) Math.min(1_000_000, exchange.number(header, fallback));
+    }
+
+    private static String callId(Exchange exchange) throws CallException {
+        String sent = exchange.header(CallHeaders.CALL_ID);
+        if (sent == null || sent.isEmpty()) {
+            ThreadLocalRandom random = ThreadLocalRandom.current();
+            return Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+        }
+        if (sent.length() > MAX_ID_CHARS) {
+            throw CallException.notRun(400, "bad-call-id");
+        }
+        return sent;
+    }
+
+    private static @Nullable String key(Exchange exchange) throws CallException {
+        String key = exchange.header(CallHeaders.IDEMPOTENCY_KEY);
+        if (key != null && (key.isEmpty() || key.length() > MAX_ID_CHARS)) {
+            throw CallException.notRun(400, "bad-key");
+        }
+        return key;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/CallHeaders.java
@@ -0,0 +1,56 @@
+package dev.zinniaring.node;
+
+import java.util.Locale;
+import java.util.Set;
+
+/** Names of the headers that the call path reads or writes. */
+final class CallHeaders {
+    static final String RANK = "Zinniaring-Rank";
+    static final String DEADLINE_MS = "Zinniaring-Deadline-Ms";
+    static final String DEPTH = "Zinniaring-Depth";
+    static final String CALL_ID = "Zinniaring-Call-Id";
+    static final String OWNER_HOP = "Zinniaring-Owner-Hop";
+    static final String ATTEMPT = "Zinniaring-Attempt";
+    static final String LOAD = "Zinniaring-Load";
+    static final String PRESSURE = "Zinniaring-Pressure";
+    static final String OUTCOME = "Zinniaring-Outcome";
+    static final String REASON = "Zinniaring-Reason";
+    static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    static final String IDEMPOTENCY_RESEND = "Idempotency-Resend";
+
+    /** Carries {@code Retry-After} past OkHttp, which would send a 503 with the value 0 again. */
+    static final String HELD_RETRY_AFTER = "Zinniaring-Held-Retry-After";
+
+    /** Headers of one connection (RFC 9110, section 7.6.1) and those that are written anew. */
+    private static final Set<String> NOT_FORWARDED =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "expect",
+                    "content-length",
+                    "zinniaring-rank",
+                    "zinniaring-deadline-ms",
+                    "zinniaring-depth",
+                    "zinniaring-call-id",
+                    "zinniaring-owner-hop",
+                    "zinniaring-attempt",
+                    "zinniaring-load",
+                    "zinniaring-pressure",
+                    "zinniaring-outcome",
+                    "zinniaring-reason",
+                    "zinniaring-held-retry-after");
+
+    private CallHeaders() {}
+
+    /** Returns whether a header is passed on as it came. */
+    static boolean forwarded(String name) {
+        return !NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
@@ -0,0 +1,158 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.admission.BudgetedRetry;
+import dev.zinniaring.admission.CrashGuard;
+import dev.zinniaring.admission.IdempotencyMemory;
+import dev.zinniaring.distribution.Endpoints;
+import dev.zinniaring.distribution.Versions;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.kernel.Plugin;
+import dev.zinniaring.kernel.Scheduler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The call path: both listeners, and what carries calls from them to the backend servers. */
+final class CallsPlugin implements Plugin {
+    private static final Duration QUEUE_PERIOD = Duration.ofMillis(10);
+    private static final Duration EXPIRE_PERIOD = Duration.ofSeconds(1);
+
+    /** Time in which other nodes learn that this node's backend servers are gone. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+
+    private static final long MIN_RETRY_NANOS = Duration.ofMillis(2).toNanos();
+
+    private final Endpoints endpoints;
+    private final Scheduler scheduler;
+    private final LocalServers servers;
+    private final CrashGuard guard;
+    private final IdempotencyMemory memory;
+    private final KeyHomes homes;
+    private final HopClient client;
+    private final Routes routes;
+    private final EntryCalls entry;
+    private final OwnerCalls owner;
+    private final CallListener callers;
+    private final CallListener peers;
+    private final Clock clock;
+    private final List<Scheduler.Cancellable> timers = new ArrayList<>();
+
+    CallsPlugin(CallsParts parts) {
+        NodeSettings settings = parts.settings();
+        Versions versions = parts.versions();
+        endpoints = parts.endpoints();
+        scheduler = parts.scheduler();
+        servers = parts.servers();
+        guard = parts.guard();
+        clock = parts.clock();
+        memory = IdempotencyMemory.builder().clock(clock).build();
+        homes = new KeyHomes(settings.nodeId(), clock);
+        Limits limits = settings.limits();
+        client = new HopClient(limits.connectMillis());
+        routes = new Routes(versions, endpoints, clock);
+        CallMetrics metrics = new CallMetrics(parts.registry());
+        AnswerRelay relay = new AnswerRelay(metrics);
+        OwnerPath path = new OwnerPath(servers, guard, client, clock, limits.connectMillis());
+        KeyHome keys = new KeyHome(settings.nodeId(), memory, homes, endpoints, client);
+        Attempts attempts =
+                new Attempts(
+                        settings,
+                        path,
+                        new PeerPath(client, clock),
+                        new BudgetedRetry(MIN_RETRY_NANOS),
+                        metrics,
+                        clock);
+        KeyedCalls keyed = new KeyedCalls(keys, attempts, relay, clock);
+        entry =
+                new EntryCalls(
+                        new EntryCallsParts(
+                                routes, attempts, keyed, relay, metrics, limits, clock));
+        owner = new OwnerCalls(routes, path, keys, relay, metrics, limits, clock);
+        callers = new CallListener("callers", settings.callAddress(), limits, entry);
+        peers = new CallListener("peers", settings.peerCallAddress(), limits, owner);
+    }
+
+    /** Takes the ports of both listeners, so that their numbers are known before the start. */
+    void bind() throws KernelException {
+        callers.bind();
+        peers.bind();
+    }
+
+    InetSocketAddress callAddress() {
+        return callers.address();
+    }
+
+    InetSocketAddress peerCallAddress() {
+        return peers.address();
+    }
+
+    @Override
+    public String name() {
+        return "calls";
+    }
+
+    @Override
+    public int order() {
+        return 50;
+    }
+
+    @Override
+    public void start() throws KernelException {
+        homes.changed(endpoints.view());
+        endpoints.subscribe(homes::changed);
+        routes.follow(servers::versionChanged);
+        timers.add(scheduler.every(QUEUE_PERIOD, servers::expireQueues));
+        timers.add(scheduler.every(EXPIRE_PERIOD, this::expire));
+        peers.start();
+        callers.start();
+    }
+
+    private void expire() {
+        guard.expire();
+        memory.expire();
+    }
+
+    @Override
+    public void drain(Duration limit) {
+        long startNanos = clock.nanos();
+        entry.drain();
+        owner.drain();
+        callers.drain();
+        peers.drain();
+        Duration linger = limit.compareTo(LINGER) < 0 ? limit : LINGER;
+        callers.awaitTime(linger);
+        callers.awaitIdle(limit.minus(clock.since(startNanos)));
+        peers.awaitIdle(limit.minus(clock.since(startNanos)));
+    }
+
+    @Override
+    public void stop() {
+        timers.forEach(Scheduler.Cancellable::cancel);
+        callers.stop();
+        peers.stop();
+        client.close();
+    }
+
+    @Override
+    public Object state() {
+        return new State(
+                entry.calls(),
+                callers.connections(),
+                callers.refused(),
+                peers.inFlight(),
+                peers.connections(),
+                client.connections(),
+                routes.current().map(table -> table.version().number()).orElse(0L));
+    }
+
+    private record State(
+            int callsInFlight,
+            int callerConnections,
+            long callerRefusals,
+            int peerCallsInFlight,
+            int peerConnections,
+            int outboundConnections,
+            long version) {}
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/ClientWatch.java
@@ -0,0 +1,107 @@
+package dev.zinniaring.node;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadPendingException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.io.AbstractEndPoint;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Learns that a client closed its connection while its call runs. Jetty does not read from an
+ * HTTP/1.1 connection between the end of a request and the end of its answer, so that it would see
+ * the close only when it writes.
+ *
+ * <p>It must be started after the whole request was read, and stopped before the answer is written.
+ * A client that pipelines a second request loses its first byte; the connection is then closed
+ * after the answer, so that no request is misread.
+ */
+final class ClientWatch {
+    private static final IOException STOPPED = new IOException("the watch has been stopped");
+
+    private final Cancellation cancellation;
+    private final AtomicBoolean pipelined = new AtomicBoolean();
+    private final Readable readable = new Readable();
+    private final AbstractEndPoint endPoint;
+    private boolean started;
+
+    private ClientWatch(AbstractEndPoint endPoint, Cancellation cancellation) {
+        this.endPoint = endPoint;
+        this.cancellation = cancellation;
+    }
+
+    static ClientWatch of(Request request, Cancellation cancellation) {
+        EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+        if (endPoint instanceof AbstractEndPoint known) {
+            return new ClientWatch(known, cancellation);
+        }
+        throw new IllegalStateException("an unknown kind of connection: " + endPoint);
+    }
+
+    void start() {
+        if (!started) {
+            started = true;
+            listen();
+        }
+    }
+
+    private void listen() {
+        try {
+            endPoint.tryFillInterested(readable);
+        } catch (ReadPendingException e) {
+            // Jetty itself reads, and will see the close.
+            started = false;
+        }
+    }
+
+    /** Stops watching; returns whether the connection must be closed after the answer. */
+    boolean stop() {
+        if (started) {
+            started = false;
+            readable.stopped = true;
+            endPoint.getFillInterest().onFail(STOPPED);
+        }
+        return pipelined.get();
+    }
+
+    private final class Readable implements Callback {
+        private volatile boolean stopped;
+
+        @Override
+        public void succeeded() {
+            if (stopped) {
+                return;
+            }
+            try {
+                ByteBuffer one = BufferUtil.allocate(1);
+                int count = endPoint.fill(one);
+                if (count < 0) {
+                    throw new EOFException("the client has closed the connection");
+                }
+                if (count > 0) {
+                    pipelined.set(true);
+                } else {
+                    listen();
+                }
+            } catch (IOException e) {
+                cancellation.cancel();
+            }
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            if (!stopped && cause != STOPPED) {
+                cancellation.cancel();
+            }
+        }
+
+        @Override
+        public InvocationType getInvocationType() {
+            return InvocationType.NON_BLOCKING;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/EntryCalls.java
@@ -0,0 +1,110 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.Tables;
+import dev.zinniaring.routing.RouteMatch;
+import dev.zinniaring.routing.RoutingTable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Carries the calls of callers: matches the route, sheds early, chooses a backend server, retries
+ * and passes the answer on.
+ */
+final class EntryCalls implements CallListener.CallHandler {
+    private static final Logger log = LoggerFactory.getLogger(EntryCalls.class);
+    private static final String NO_RANK = "none";
+
+    private final Routes routes;
+    private final CallContexts contexts;
+    private final CallGate gate;
+    private final Attempts attempts;
+    private final KeyedCalls keyed;
+    private final AnswerRelay relay;
+    private final CallMetrics metrics;
+    private final Limits limits;
+    private final Clock clock;
+    private volatile boolean draining;
+
+    EntryCalls(EntryCallsParts parts) {
+        routes = parts.routes();
+        contexts = new CallContexts(parts.clock());
+        gate = new CallGate(parts.limits().maxConcurrentCalls());
+        attempts = parts.attempts();
+        keyed = parts.keyed();
+        relay = parts.relay();
+        metrics = parts.metrics();
+        limits = parts.limits();
+        clock = parts.clock();
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    int calls() {
+        return gate.calls();
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        long startNanos = clock.nanos();
+        Progress progress = new Progress();
+        try {
+            serve(exchange, progress);
+            metrics.answered(progress.rank, Outcome.RAN, clock.nanos() - startNanos);
+        } catch (CallException e) {
+            metrics.refused(progress.rank, e, clock.nanos() - startNanos);
+            exchange.answer(e);
+        } catch (RuntimeException e) {
+            log.error("a call failed by a fault of this node", e);
+            CallException refusal = CallException.unknown(502, "internal");
+            metrics.refused(progress.rank, refusal, clock.nanos() - startNanos);
+            exchange.answer(refusal);
+        }
+    }
+
+    private void serve(Exchange exchange, Progress progress) throws CallException {
+        if (draining) {
+            throw CallException.notRun(503, "draining");
+        }
+        RoutingTable table =
+                routes.current().orElseThrow(() -> CallException.notRun(503, "not-ready"));
+        RouteMatch match =
+                table.match(exchange.host(), exchange.path(), exchange.method())
+                        .orElseThrow(() -> CallException.notRun(404, "no-route"));
+        Tables tables = table.version().tables();
+        CallContext call = contexts.entry(exchange, match, tables);
+        progress.rank = call.rank();
+        exchange.answerHeaders().put(CallHeaders.CALL_ID, call.callId());
+        PoolState pool = routes.pool(match.pool().pool());
+        if (pool.shedder().sheds(call.rankOrder())) {
+            throw CallException.notRun(503, "shed");
+        }
+        gate.enter(call.rankOrder(), tables);
+        try {
+            carry(withBody(call), match, pool);
+        } finally {
+            gate.leave();
+        }
+    }
+
+    private CallContext withBody(CallContext call) throws CallException {
+        return call.withBody(limits.maxBodyBytes());
+    }
+
+    private void carry(CallContext call, RouteMatch match, PoolState pool) throws CallException {
+        if (call.key() != null) {
+            keyed.carry(call, match, pool);
+            return;
+        }
+        HopAnswer answer = attempts.run(call, match, pool);
+        call.exchange().answerHeaders().put(CallHeaders.OUTCOME, Outcome.RAN.word());
+        relay.relay(call, answer);
+    }
+
+    /** What is known of a call when it fails. */
+    private static final class Progress {
+        private String rank = NO_RANK;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/Exchange.java
@@ -0,0 +1,164 @@
+package dev.zinniaring.node;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+/** One request that a call listener received, and its answer. */
+final class Exchange {
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final Cancellation cancellation = new Cancellation();
+    private final ClientWatch watch;
+    private final boolean draining;
+    private boolean watchStopped;
+
+    Exchange(Request request, Response response, Callback callback, boolean draining) {
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.draining = draining;
+        this.watch = ClientWatch.of(request, cancellation);
+        request.addFailureListener(failure -> cancellation.cancel());
+    }
+
+    String method() {
+        return request.getMethod();
+    }
+
+    /** Returns the decoded path without the query, for matching. */
+    String path() {
+        String path = request.getHttpURI().getCanonicalPath();
+        return path == null ? "/" : path;
+    }
+
+    /** Returns path and query as they came. */
+    String target() {
+        String target = request.getHttpURI().getPathQuery();
+        return target == null || !target.startsWith("/") ? "/" : target;
+    }
+
+    /** Returns the host in lower case, without the port. */
+    String host() {
+        String host = Request.getServerName(request);
+        return host == null ? "" : host.toLowerCase(Locale.ROOT);
+    }
+
+    HttpFields headers() {
+        return request.getHeaders();
+    }
+
+    @Nullable String header(String name) {
+        return request.getHeaders().get(name);
+    }
+
+    /** Returns a whole number in a header, or {@code fallback} if it is absent or malformed. */
+    long number(String name, long fallback) {
+        String value = header(name);
+        if (value == null || value.isEmpty() || value.length() > 18) {
+            return fallback;
+        }
+        for (int i = 0; i < value.length(); i++) {
+            if (value.charAt(i) < '0' || value.charAt(i) > '9') {
+                return fallback;
+            }
+        }
+        return Long.parseLong(value);
+    }
+
+    /** Returns the names of the headers that concern this connection only, in lower case. */
+    Set<String> connectionHeaders() {
+        Set<String> names = new HashSet<>();
+        for (HttpField field : request.getHeaders().getFields(HttpHeader.CONNECTION)) {
+            for (String name : field.getValues()) {
+                names.add(name.toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+
+    /** Reads the kept start of the body. */
+    CallBody body(long maxBytes) throws BodyException {
+        long length = request.getLength();
+        if (length == 0 || (length < 0 && !chunked())) {
+            return CallBody.NONE;
+        }
+        return CallBody.read(Content.Source.asInputStream(request), length, maxBytes);
+    }
+
+    private boolean chunked() {
+        return request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    }
+
+    Cancellation cancellation() {
+        return cancellation;
+    }
+
+    /** Notices from now on if the client goes away; the whole body must have been read. */
+    void watchClient() {
+        watch.start();
+    }
+
+    /** Begins the answer. Headers are added to {@link #answerHeaders()} before the first write. */
+    void status(int status) {
+        if (!watchStopped) {
+            watchStopped = true;
+            boolean close = watch.stop();
+            if (close || draining) {
+                response.getHeaders().put(HttpHeader.CONNECTION, "close");
+            }
+        }
+        response.setStatus(status);
+    }
+
+    HttpFields.Mutable answerHeaders() {
+        return response.getHeaders();
+    }
+
+    /** Writes a part of the answer's body and waits until the connection has taken it. */
+    void write(byte[] bytes, int offset, int length) throws IOException {
+        Content.Sink.write(response, false, ByteBuffer.wrap(bytes, offset, length));
+    }
+
+    /** Writes the last part of the answer's body and ends the exchange. */
+    void end(byte[] bytes, int offset, int length) {
+        response.write(true, ByteBuffer.wrap(bytes, offset, length), callback);
+    }
+
+    /** Answers on behalf of the system. */
+    void answer(CallException refusal) {
+        if (response.isCommitted()) {
+            abort(refusal);
+            return;
+        }
+        status(refusal.status());
+        answerHeaders().put(CallHeaders.OUTCOME, refusal.outcome().word());
+        answerHeaders().put(CallHeaders.REASON, refusal.reason());
+        answerHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        byte[] body = describe(refusal).getBytes(StandardCharsets.UTF_8);
+        end(body, 0, body.length);
+    }
+
+    private static String describe(CallException refusal) {
+        return "{\"outcome\":\"%s\",\"reason\":\"%s\"}\n"
+                .formatted(refusal.outcome().word(), refusal.reason());
+    }
+
+    /** Ends the exchange by closing the connection, so that the answer is not taken for whole. */
+    void abort(Throwable cause) {
+        request.getConnectionMetaData().getConnection().getEndPoint().close();
+        callback.failed(cause);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/HopClient.java
@@ -0,0 +1,155 @@
+package dev.zinniaring.node;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.Proxy;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Connection;
+import okhttp3.ConnectionPool;
+import okhttp3.EventListener;
+import okhttp3.Interceptor;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends requests to nodes and backend servers over kept connections, each at most once, and tells
+ * whether a failed one can have been received. Sends on the calling thread.
+ */
+final class HopClient implements AutoCloseable {
+    private static final int MAX_IDLE_CONNECTIONS = 1_024;
+    private static final int KEEP_ALIVE_SECONDS = 50;
+    private static final int MAX_STALE_CONNECTIONS = 256;
+    private static final int UNAVAILABLE = 503;
+
+    private final OkHttpClient client;
+
+    HopClient(int connectMillis) {
+        client =
+                new OkHttpClient.Builder()
+                        .socketFactory(new HopSockets())
+                        .proxy(Proxy.NO_PROXY)
+                        .protocols(List.of(Protocol.HTTP_1_1))
+                        .connectionPool(
+                                new ConnectionPool(
+                                        MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+                        .connectTimeout(Duration.ofMillis(connectMillis))
+                        // The deadline of the call bounds both; each timer would cost a lock.
+                        .readTimeout(Duration.ZERO)
+                        .writeTimeout(Duration.ZERO)
+                        // Each of these would send a request again without being asked.
+                        .retryOnConnectionFailure(false)
+                        .fastFallback(false)
+                        .followRedirects(false)
+                        .followSslRedirects(false)
+                        .addNetworkInterceptor(HopClient::checked)
+                        .eventListenerFactory(HopClient::listener)
+                        .build();
+    }
+
+    /** Tracks whether a request has begun to leave this process. */
+    private static final class Progress extends EventListener {
+        private volatile boolean sending;
+
+        @Override
+        public void requestHeadersStart(Call call) {
+            sending = true;
+        }
+    }
+
+    /** A kept connection that the other side has closed meanwhile. */
+    private static final class StaleConnectionException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private static EventListener listener(Call call) {
+        Progress progress = call.request().tag(Progress.class);
+        return progress == null ? EventListener.NONE : progress;
+    }
+
+    private static Response checked(Interceptor.Chain chain) throws IOException {
+        Connection connection = chain.connection();
+        if (connection == null
+                || !(connection.socket() instanceof HopSocket socket)
+                || !socket.begin(chain.request().method())) {
+            throw stale(connection);
+        }
+        Response response = chain.proceed(chain.request());
+        String retryAfter = response.header("Retry-After");
+        if (response.code() != UNAVAILABLE || retryAfter == null) {
+            return response;
+        }
+        return response.newBuilder()
+                .removeHeader("Retry-After")
+                .header(CallHeaders.HELD_RETRY_AFTER, retryAfter)
+                .build();
+    }
+
+    private static IOException stale(@Nullable Connection connection) throws IOException {
+        if (connection != null) {
+            connection.socket().close();
+        }
+        return new StaleConnectionException();
+    }
+
+    /**
+     * Sends a request and returns the head of its answer; the caller ends it.
+     *
+     * @param leftNanos time left until the deadline
+     * @param cancellation cancels the request when the caller goes away
+     * @throws HopException if there is no answer
+     */
+    HopAnswer send(Request request, long leftNanos, Cancellation cancellation) throws HopException {
+        for (int stale = 0; ; stale++) {
+            Progress progress = new Progress();
+            Call call = client.newCall(request.newBuilder().tag(Progress.class, progress).build());
+            call.timeout().timeout(Math.max(1, leftNanos), TimeUnit.NANOSECONDS);
+            cancellation.onCancel(call::cancel);
+            try {
+                return new HopAnswer(call.execute(), call);
+            } catch (StaleConnectionException e) {
+                if (stale >= MAX_STALE_CONNECTIONS) {
+                    throw new HopException(HopException.Kind.NOT_SENT, e);
+                }
+            } catch (IOException e) {
+                throw new HopException(kind(e, progress, cancellation), e);
+            }
+        }
+    }
+
+    private static HopException.Kind kind(
+            IOException e, Progress progress, Cancellation cancellation) {
+        if (!progress.sending) {
+            return HopException.Kind.NOT_SENT;
+        }
+        if (e instanceof BodyException) {
+            return HopException.Kind.BAD_BODY;
+        }
+        if (cancellation.cancelled()) {
+            return HopException.Kind.CANCELLED;
+        }
+        return kind(e);
+    }
+
+    /** Returns the kind of a failure while an answer was read. */
+    static HopException.Kind kind(IOException e) {
+        return e instanceof InterruptedIOException
+                ? HopException.Kind.TIMED_OUT
+                : HopException.Kind.BROKEN;
+    }
+
+    int connections() {
+        return client.connectionPool().connectionCount();
+    }
+
+    @Override
+    public void close() {
+        client.connectionPool().evictAll();
+        client.dispatcher().executorService().shutdown();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/HopRequests.java
@@ -0,0 +1,85 @@
+package dev.zinniaring.node;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import okhttp3.Headers;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import okhttp3.internal.http.HttpMethod;
+import org.eclipse.jetty.http.HttpField;
+
+/** Writes the request of the next hop from that of the caller. */
+final class HopRequests {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private HopRequests() {}
+
+    /**
+     * Returns the request of a call for a node or backend server.
+     *
+     * @param to address such as {@code 127.0.0.1:8080}
+     * @param leftNanos time left until the deadline
+     * @throws CallException if the request cannot be passed on
+     */
+    static Request.Builder of(CallContext call, String to, long leftNanos) throws CallException {
+        Exchange exchange = call.exchange();
+        HttpUrl url = HttpUrl.parse("http://" + to + exchange.target());
+        if (url == null) {
+            throw CallException.notRun(400, "bad-target");
+        }
+        if (leftNanos < NANOS_PER_MILLI) {
+            throw CallException.notRun(503, "deadline");
+        }
+        Headers.Builder headers = forwarded(exchange);
+        headers.set(CallHeaders.RANK, call.rank());
+        headers.set(CallHeaders.DEADLINE_MS, Long.toString(leftNanos / NANOS_PER_MILLI));
+        headers.set(CallHeaders.DEPTH, Integer.toString(call.depth()));
+        headers.set(CallHeaders.ATTEMPT, Integer.toString(call.attempt()));
+        headers.set(CallHeaders.CALL_ID, call.callId());
+        Request.Builder request = new Request.Builder().url(url).headers(headers.build());
+        return withBody(request, call);
+    }
+
+    private static Request.Builder withBody(Request.Builder request, CallContext call)
+            throws CallException {
+        String method = call.exchange().method();
+        CallBody body = call.body();
+        if (body.isEmpty() && !HttpMethod.requiresRequestBody(method)) {
+            return request.method(method, null);
+        }
+        if (!HttpMethod.permitsRequestBody(method)) {
+            throw CallException.notRun(400, "body-not-allowed");
+        }
+        return request.method(method, body.forRequest());
+    }
+
+    private static Headers.Builder forwarded(Exchange exchange) {
+        Headers.Builder headers = new Headers.Builder();
+        Set<String> ofConnection = exchange.connectionHeaders();
+        for (HttpField field : exchange.headers()) {
+            String name = field.getName();
+            String value = field.getValue();
+            if (CallHeaders.forwarded(name)
+                    && (ofConnection.isEmpty()
+                            || !ofConnection.contains(field.getLowerCaseName()))) {
+                headers.addUnsafeNonAscii(name, value == null ? "" : value);
+            }
+        }
+        if (headers.get("Accept-Encoding") == null) {
+            // OkHttp would ask for gzip otherwise, and unpack the answer.
+            headers.set("Accept-Encoding", "identity");
+        }
+        if (headers.get("User-Agent") == null) {
+            headers.set("User-Agent", "zinniaring");
+        }
+        return headers;
+    }
+
+    /** Returns an address as it is written in a URL. */
+    static String text(InetSocketAddress address) {
+        InetAddress ip = address.getAddress();
+        String host = ip.getHostAddress();
+        return (host.contains(":") ? "[" + host + "]" : host) + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/HopSocket.java
@@ -0,0 +1,164 @@
+package dev.zinniaring.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.net.SocketException;
+import java.net.SocketImpl;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A client socket that can tell whether a kept connection is fit for another request. OkHttp itself
+ * asks only connections that were idle for ten seconds, and then only whether they are closed; a
+ * request on a closed connection would have to be reported as possibly run.
+ */
+final class HopSocket extends Socket {
+    private final SocketChannel channel = SocketChannel.open();
+    private final Socket socket = channel.socket();
+    private @Nullable FramedInput input;
+
+    HopSocket() throws IOException {
+        super((SocketImpl) null);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    /**
+     * Begins a request; returns false if the other side has closed the connection, or has sent
+     * bytes that nobody asked for.
+     */
+    boolean begin(String method) {
+        FramedInput known = input;
+        if (known == null || !known.clean() || !silent()) {
+            return false;
+        }
+        known.begin(method);
+        return true;
+    }
+
+    private boolean silent() {
+        try {
+            channel.configureBlocking(false);
+            int count = channel.read(ByteBuffer.allocate(1));
+            channel.configureBlocking(true);
+            return count == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public synchronized InputStream getInputStream() throws IOException {
+        FramedInput known = input;
+        if (known == null) {
+            known = new FramedInput(socket.getInputStream());
+            input = known;
+        }
+        return known;
+    }
+
+    @Override
+    public OutputStream getOutputStream() throws IOException {
+        return socket.getOutputStream();
+    }
+
+    @Override
+    public void connect(SocketAddress endpoint) throws IOException {
+        socket.connect(endpoint);
+    }
+
+    @Override
+    public void connect(SocketAddress endpoint, int timeoutMillis) throws IOException {
+        socket.connect(endpoint, timeoutMillis);
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+
+    @Override
+    public boolean isClosed() {
+        return !channel.isOpen();
+    }
+
+    @Override
+    public boolean isConnected() {
+        return socket.isConnected();
+    }
+
+    @Override
+    public boolean isBound() {
+        return socket.isBound();
+    }
+
+    @Override
+    public boolean isInputShutdown() {
+        return socket.isInputShutdown();
+    }
+
+    @Override
+    public boolean isOutputShutdown() {
+        return socket.isOutputShutdown();
+    }
+
+    @Override
+    public void shutdownInput() throws IOException {
+        socket.shutdownInput();
+    }
+
+    @Override
+    public void shutdownOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
+    @Override
+    public synchronized void setSoTimeout(int timeoutMillis) throws SocketException {
+        socket.setSoTimeout(timeoutMillis);
+    }
+
+    @Override
+    public synchronized int getSoTimeout() throws SocketException {
+        return socket.getSoTimeout();
+    }
+
+    @Override
+    public @Nullable InetAddress getInetAddress() {
+        return socket.getInetAddress();
+    }
+
+    @Override
+    public InetAddress getLocalAddress() {
+        return socket.getLocalAddress();
+    }
+
+    @Override
+    public int getPort() {
+        return socket.getPort();
+    }
+
+    @Override
+    public int getLocalPort() {
+        return socket.getLocalPort();
+    }
+
+    @Override
+    public @Nullable SocketAddress getRemoteSocketAddress() {
+        return socket.getRemoteSocketAddress();
+    }
+
+    @Override
+    public @Nullable SocketAddress getLocalSocketAddress() {
+        return socket.getLocalSocketAddress();
+    }
+
+    @Override
+    public String toString() {
+        return "HopSocket[" + channel + "]";
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/KeyHome.java
@@ -0,0 +1,161 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.admission.IdempotencyMemory;
+import dev.zinniaring.admission.KeyAnswer;
+import dev.zinniaring.distribution.Endpoints;
+import dev.zinniaring.model.EndpointRecord;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.eclipse.jetty.http.HttpHeader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Asks the home node of a key about it, and answers for the keys whose home this node is. */
+final class KeyHome {
+    /** Marks a request about a key on the node-to-node listener. */
+    static final String HEADER = "Zinniaring-Key-Home";
+
+    private static final Logger log = LoggerFactory.getLogger(KeyHome.class);
+    private static final long MAX_ASK_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final int MAX_MESSAGE_BYTES = 256 * 1024;
+
+    private final String ownNodeId;
+    private final IdempotencyMemory memory;
+    private final KeyHomes homes;
+    private final Endpoints endpoints;
+    private final HopClient client;
+
+    KeyHome(
+            String ownNodeId,
+            IdempotencyMemory memory,
+            KeyHomes homes,
+            Endpoints endpoints,
+            HopClient client) {
+        this.ownNodeId = ownNodeId;
+        this.memory = memory;
+        this.homes = homes;
+        this.endpoints = endpoints;
+        this.client = client;
+    }
+
+    /**
+     * Begins a call with a key.
+     *
+     * @throws CallException {@code not-run} if the key's home cannot be asked
+     */
+    KeyAnswer begin(KeyMessages.KeyRequest request, long leftNanos) throws CallException {
+        return ask(request, leftNanos).known();
+    }
+
+    /** Tells the home how a call ended. A report that is lost leaves the key unusable. */
+    void ended(KeyMessages.KeyRequest report) {
+        try {
+            ask(report, MAX_ASK_NANOS);
+        } catch (CallException e) {
+            log.debug("the end of a call with a key could not be reported: {}", e.getMessage());
+        }
+    }
+
+    private KeyMessages.KeyReply ask(KeyMessages.KeyRequest request, long leftNanos)
+            throws CallException {
+        Map<String, String> nodes = nodes(request.service());
+        String home = KeyHomes.choose(nodes.keySet(), request.key());
+        if (home == null) {
+            throw CallException.notRun(503, "no-server");
+        }
+        if (home.equals(ownNodeId)) {
+            return answer(request);
+        }
+        String url = "http://" + nodes.get(home) + "/";
+        Request http =
+                new Request.Builder()
+                        .url(url)
+                        .header(HEADER, ownNodeId)
+                        .post(RequestBody.create(KeyMessages.write(request)))
+                        .build();
+        return send(http, Math.min(leftNanos, MAX_ASK_NANOS));
+    }
+
+    private KeyMessages.KeyReply send(Request request, long leftNanos) throws CallException {
+        HopAnswer answer;
+        try {
+            answer = client.send(request, leftNanos, new Cancellation());
+        } catch (HopException e) {
+            throw CallException.notRun(503, "key-home-unreachable");
+        }
+        HopAnswer.End end = HopAnswer.End.BROKEN;
+        try {
+            byte[] body = answer.response().body().bytes();
+            end = HopAnswer.End.WHOLE;
+            if (!answer.response().isSuccessful()) {
+                throw CallException.notRun(503, "key-home-refused");
+            }
+            return KeyMessages.read(body, KeyMessages.KeyReply.class);
+        } catch (IOException e) {
+            throw CallException.notRun(503, "key-home-unreachable");
+        } finally {
+            answer.end(end);
+        }
+    }
+
+    /** Answers another node's request about a key. */
+    void serve(Exchange exchange) throws CallException {
+        KeyMessages.KeyRequest request;
+        try {
+            CallBody body = exchange.body(MAX_MESSAGE_BYTES);
+            request = KeyMessages.read(body.allBytes(), KeyMessages.KeyRequest.class);
+        } catch (IOException e) {
+            throw CallException.notRun(400, "bad-key-request");
+        }
+        String home = KeyHomes.choose(nodes(request.service()).keySet(), request.key());
+        if (request.end() == null && !ownNodeId.equals(home)) {
+            throw CallException.notRun(503, "not-key-home");
+        }
+        byte[] reply = KeyMessages.write(answer(request));
+        exchange.status(200);
+        exchange.answerHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        exchange.end(reply, 0, reply.length);
+    }
+
+    private KeyMessages.KeyReply answer(KeyMessages.KeyRequest request) {
+        String key = request.service() + "\n" + request.key();
+        Outcome end = request.end();
+        if (end == null) {
+            return KeyMessages.KeyReply.of(begin(request, key));
+        }
+        switch (end) {
+            case RAN -> {
+                KeyMessages.Stored stored = request.answer();
+                memory.completed(
+                        key, Optional.ofNullable(stored).map(KeyMessages.Stored::toAnswer));
+            }
+            case NOT_RUN -> memory.notRun(key);
+            default -> memory.unknown(key);
+        }
+        return KeyMessages.KeyReply.of(KeyAnswer.of(KeyAnswer.State.DONE));
+    }
+
+    private KeyAnswer begin(KeyMessages.KeyRequest request, String key) {
+        KeyAnswer known = memory.begin(key, request.fingerprint(), request.resend());
+        boolean unseen = known.state() == KeyAnswer.State.NEW;
+        if (unseen && request.resend() && !homes.provable(request.service(), request.key())) {
+            memory.notRun(key);
+            return KeyAnswer.of(KeyAnswer.State.UNKNOWN);
+        }
+        return known;
+    }
+
+    /** Returns the nodes beside the backend servers of a service, with their call addresses. */
+    private Map<String, String> nodes(String service) {
+        Map<String, String> nodes = new TreeMap<>();
+        for (EndpointRecord record : endpoints.view().of(service)) {
+            nodes.put(record.nodeId(), record.callAddress());
+        }
+        return nodes;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/KeyHomes.java
@@ -0,0 +1,108 @@
+package dev.zinniaring.node;
+
+import com.google.common.hash.Hashing;
+import dev.zinniaring.distribution.EndpointView;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.EndpointRecord;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the node that remembers a key: the highest by rendezvous hash of the nodes beside the
+ * service's backend servers. Also tells whether this node has been that one for long enough to know
+ * every use of the key.
+ */
+final class KeyHomes {
+    /** Time for which a key is remembered. */
+    static final Duration TTL = Duration.ofMinutes(10);
+
+    /** More changes than this within the time to live make nothing provable. */
+    private static final int MAX_HISTORY = 256;
+
+    private final String ownNodeId;
+    private final Clock clock;
+    private final long startNanos;
+    private final Map<String, Deque<Nodes>> history = new HashMap<>();
+
+    private record Nodes(Set<String> ids, long sinceNanos) {}
+
+    KeyHomes(String ownNodeId, Clock clock) {
+        this.ownNodeId = ownNodeId;
+        this.clock = clock;
+        this.startNanos = clock.nanos();
+    }
+
+    /** Returns the id of the home of a key, or null if no node is given. */
+    static @Nullable String choose(Set<String> nodeIds, String key) {
+        String best = null;
+        long bestWeight = 0;
+        for (String nodeId : nodeIds) {
+            long weight =
+                    Hashing.murmur3_128()
+                            .newHasher()
+                            .putInt(nodeId.length())
+                            .putString(nodeId, StandardCharsets.UTF_8)
+                            .putString(key, StandardCharsets.UTF_8)
+                            .hash()
+                            .asLong();
+            if (best == null
+                    || weight > bestWeight
+                    || (weight == bestWeight && nodeId.compareTo(best) > 0)) {
+                best = nodeId;
+                bestWeight = weight;
+            }
+        }
+        return best;
+    }
+
+    /** Notes the nodes of each service. */
+    synchronized void changed(EndpointView view) {
+        Map<String, Set<String>> nodes = new HashMap<>();
+        for (EndpointRecord record : view.all()) {
+            nodes.computeIfAbsent(record.service(), name -> new TreeSet<>()).add(record.nodeId());
+        }
+        Set<String> services = new TreeSet<>(history.keySet());
+        services.addAll(nodes.keySet());
+        for (String service : services) {
+            note(service, nodes.getOrDefault(service, Set.of()));
+        }
+    }
+
+    private void note(String service, Set<String> ids) {
+        Deque<Nodes> past = history.computeIfAbsent(service, name -> new ArrayDeque<>());
+        Nodes last = past.peekLast();
+        if (last == null || !last.ids().equals(ids)) {
+            past.addLast(new Nodes(Set.copyOf(ids), clock.nanos()));
+        }
+        if (past.size() > MAX_HISTORY) {
+            past.removeFirst();
+        }
+    }
+
+    /** Returns whether this node was the home of a key for the whole time to live. */
+    synchronized boolean provable(String service, String key) {
+        long nowNanos = clock.nanos();
+        if (nowNanos - startNanos < TTL.toNanos()) {
+            return false;
+        }
+        Deque<Nodes> past = history.getOrDefault(service, new ArrayDeque<>());
+        // The set that was in force at the start of the time to live counts as well.
+        for (var newestFirst = past.descendingIterator(); newestFirst.hasNext(); ) {
+            Nodes nodes = newestFirst.next();
+            if (!ownNodeId.equals(choose(nodes.ids(), key))) {
+                return false;
+            }
+            if (nowNanos - nodes.sinceNanos() >= TTL.toNanos()) {
+                return true;
+            }
+        }
+        return past.size() < MAX_HISTORY;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/KeyMessages.java
@@ -0,0 +1,80 @@
+package dev.zinniaring.node;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import dev.zinniaring.admission.KeyAnswer;
+import dev.zinniaring.admission.StoredAnswer;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** What entry nodes and home nodes of keys say to each other, as JSON. */
+final class KeyMessages {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private KeyMessages() {}
+
+    /**
+     * A request to the home of a key.
+     *
+     * @param service service of the call
+     * @param key the caller's key
+     * @param fingerprint hash of the request
+     * @param resend whether the caller says that it sends the key again
+     * @param end how the call ended; null at its beginning
+     * @param answer answer of a call that ran, if it is small
+     */
+    record KeyRequest(
+            String service,
+            String key,
+            long fingerprint,
+            boolean resend,
+            @Nullable Outcome end,
+            @Nullable Stored answer) {
+        KeyRequest ended(Outcome outcome, Optional<StoredAnswer> stored) {
+            return new KeyRequest(
+                    service,
+                    key,
+                    fingerprint,
+                    resend,
+                    outcome,
+                    stored.map(Stored::of).orElse(null));
+        }
+    }
+
+    /** What the home knows of a key. */
+    record KeyReply(KeyAnswer.State state, @Nullable Stored answer) {
+        static KeyReply of(KeyAnswer known) {
+            return new KeyReply(known.state(), known.answer().map(Stored::of).orElse(null));
+        }
+
+        KeyAnswer known() {
+            return new KeyAnswer(state, Optional.ofNullable(answer).map(Stored::toAnswer));
+        }
+    }
+
+    /** A kept answer. */
+    record Stored(int status, Map<String, List<String>> headers, byte[] body) {
+        static Stored of(StoredAnswer answer) {
+            return new Stored(answer.status(), answer.headers(), answer.body());
+        }
+
+        StoredAnswer toAnswer() {
+            return new StoredAnswer(status, headers, body);
+        }
+    }
+
+    static byte[] write(Record message) {
+        try {
+            return MAPPER.writeValueAsBytes(message);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a record of plain values could not be written", e);
+        }
+    }
+
+    static <T> T read(byte[] bytes, Class<T> type) throws IOException {
+        return MAPPER.readValue(bytes, type);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/KeyedCalls.java
@@ -0,0 +1,115 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.admission.Fingerprints;
+import dev.zinniaring.admission.KeyAnswer;
+import dev.zinniaring.admission.StoredAnswer;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.routing.RouteMatch;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.eclipse.jetty.http.HttpFields;
+
+/** Carries calls with an idempotency key: a key that was seen does not run again. */
+final class KeyedCalls {
+    private static final int MAX_KEPT_BYTES = 64 * 1024;
+
+    private final KeyHome home;
+    private final Attempts attempts;
+    private final AnswerRelay relay;
+    private final Clock clock;
+
+    KeyedCalls(KeyHome home, Attempts attempts, AnswerRelay relay, Clock clock) {
+        this.home = home;
+        this.attempts = attempts;
+        this.relay = relay;
+        this.clock = clock;
+    }
+
+    /**
+     * Carries a call and passes the answer on.
+     *
+     * @throws CallException if there is no answer
+     */
+    void carry(CallContext call, RouteMatch match, PoolState pool) throws CallException {
+        KeyMessages.KeyRequest request = request(call, match);
+        KeyAnswer known = home.begin(request, call.deadlineNanos() - clock.nanos());
+        switch (known.state()) {
+            case NEW -> run(call, match, pool, request);
+            case DONE -> replay(call, known);
+            case RUNNING -> throw CallException.unknown(409, "key-running");
+            case UNKNOWN -> throw CallException.unknown(409, "key-unknown");
+            case MISMATCH -> throw CallException.notRun(400, "key-of-another-request");
+            case FULL -> throw CallException.notRun(503, "key-memory-full");
+        }
+    }
+
+    private static KeyMessages.KeyRequest request(CallContext call, RouteMatch match) {
+        Exchange exchange = call.exchange();
+        String key = call.key() == null ? "" : call.key();
+        long fingerprint =
+                Fingerprints.ofBody(
+                        call.route(), exchange.method(), exchange.target(), call.body().start());
+        boolean resend = "true".equalsIgnoreCase(exchange.header(CallHeaders.IDEMPOTENCY_RESEND));
+        String service = match.pool().pool().service();
+        return new KeyMessages.KeyRequest(service, key, fingerprint, resend, null, null);
+    }
+
+    private void run(
+            CallContext call, RouteMatch match, PoolState pool, KeyMessages.KeyRequest request)
+            throws CallException {
+        HopAnswer answer;
+        try {
+            answer = attempts.run(call, match, pool);
+        } catch (CallException e) {
+            home.ended(request.ended(e.outcome(), Optional.empty()));
+            throw e;
+        }
+        Optional<StoredAnswer> kept;
+        try {
+            kept = kept(answer.response());
+        } catch (IOException e) {
+            answer.end(HopAnswer.End.BROKEN);
+            home.ended(request.ended(Outcome.UNKNOWN, Optional.empty()));
+            throw AnswerRelay.broken(e);
+        }
+        home.ended(request.ended(Outcome.RAN, kept));
+        call.exchange().answerHeaders().put(CallHeaders.OUTCOME, Outcome.RAN.word());
+        relay.relay(call, answer);
+    }
+
+    /** Returns a copy of a small answer, whose body stays readable. */
+    private static Optional<StoredAnswer> kept(Response response) throws IOException {
+        BufferedSource source = response.body().source();
+        if (source.request(MAX_KEPT_BYTES + 1)) {
+            return Optional.empty();
+        }
+        byte[] body = source.getBuffer().clone().readByteArray();
+        Map<String, List<String>> headers = new TreeMap<>();
+        response.headers()
+                .toMultimap()
+                .forEach(
+                        (name, values) -> {
+                            if (CallHeaders.forwarded(name)) {
+                                headers.put(name, List.copyOf(values));
+                            }
+                        });
+        return Optional.of(new StoredAnswer(response.code(), headers, body));
+    }
+
+    private static void replay(CallContext call, KeyAnswer known) throws CallException {
+        StoredAnswer answer =
+                known.answer().orElseThrow(() -> CallException.ran(409, "answer-not-kept"));
+        Exchange exchange = call.exchange();
+        exchange.status(answer.status());
+        HttpFields.Mutable fields = exchange.answerHeaders();
+        answer.headers().forEach((name, values) -> fields.add(name, values));
+        fields.put(CallHeaders.OUTCOME, Outcome.RAN.word());
+        fields.put(CallHeaders.REASON, "replayed");
+        exchange.end(answer.body(), 0, answer.body().length);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/LocalServers.java
@@ -0,0 +1,171 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.admission.AdmissionController;
+import dev.zinniaring.admission.CrashGuard;
+import dev.zinniaring.distribution.Endpoints;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.EndpointState;
+import dev.zinniaring.model.Pool;
+import dev.zinniaring.model.Tables;
+import dev.zinniaring.model.Version;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The backend servers beside this node, as they announce themselves. */
+final class LocalServers {
+    /** Three announcements missed. */
+    static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
+
+    private static final Logger log = LoggerFactory.getLogger(LocalServers.class);
+
+    private final Endpoints endpoints;
+    private final AdmissionFactory admissions;
+    private final CrashGuard guard;
+    private final Clock clock;
+    private final Map<String, LocalServer> servers = new ConcurrentHashMap<>();
+    private Tables tables = Tables.EMPTY;
+
+    LocalServers(Endpoints endpoints, AdmissionFactory admissions, CrashGuard guard, Clock clock) {
+        this.endpoints = endpoints;
+        this.admissions = admissions;
+        this.guard = guard;
+        this.clock = clock;
+    }
+
+    @Nullable LocalServer find(String serverId) {
+        return servers.get(serverId);
+    }
+
+    Collection<LocalServer> all() {
+        return List.copyOf(servers.values());
+    }
+
+    /** Takes up what a backend server says of itself. */
+    synchronized void announce(String serverId, Announcement announced) {
+        LocalServer before = servers.get(serverId);
+        AdmissionController admission = admission(before, announced);
+        LocalServer now =
+                new LocalServer(
+                        serverId,
+                        announced,
+                        HopRequests.text(announced.address()),
+                        admission,
+                        clock.nanos());
+        servers.put(serverId, now);
+        if (before == null || before.announced().state() != announced.state()) {
+            log.info("backend server {} is {}", serverId, announced.state());
+        }
+        if (announced.state() == EndpointState.DRAINING) {
+            admission.drain();
+        }
+        endpoints.announce(record(serverId, announced));
+    }
+
+    private AdmissionController admission(@Nullable LocalServer before, Announcement announced) {
+        if (before == null || replaced(before.announced(), announced)) {
+            return admissions.create(announced, tables.ranks().values(), pool(announced.service()));
+        }
+        if (before.announced().slots() != announced.slots()) {
+            before.admission().resize(announced.slots());
+        }
+        return before.admission();
+    }
+
+    /** A server that drained and is back, or that moved, starts with a fresh controller. */
+    private static boolean replaced(Announcement before, Announcement now) {
+        boolean back =
+                before.state() == EndpointState.DRAINING && now.state() != EndpointState.DRAINING;
+        return back
+                || !before.service().equals(now.service())
+                || before.connections() != now.connections()
+                || !before.address().equals(now.address());
+    }
+
+    private @Nullable Pool pool(String service) {
+        for (Pool pool : tables.pools().values()) {
+            if (pool.service().equals(service)) {
+                return pool;
+            }
+        }
+        return null;
+    }
+
+    private static Endpoints.LocalServer record(String serverId, Announcement announced) {
+        return new Endpoints.LocalServer(
+                serverId,
+                announced.service(),
+                announced.slots(),
+                announced.connections(),
+                announced.state(),
+                announced.warmUpMillis());
+    }
+
+    /** Gives each server a new controller if the ranks or its pool have changed. */
+    synchronized void versionChanged(Version version) {
+        Tables before = tables;
+        tables = version.tables();
+        if (before.ranks().equals(tables.ranks()) && before.pools().equals(tables.pools())) {
+            return;
+        }
+        for (LocalServer server : all()) {
+            AdmissionController admission =
+                    admissions.create(
+                            server.announced(),
+                            tables.ranks().values(),
+                            pool(server.announced().service()));
+            if (server.announced().state() == EndpointState.DRAINING) {
+                admission.drain();
+            }
+            servers.put(
+                    server.serverId(),
+                    new LocalServer(
+                            server.serverId(),
+                            server.announced(),
+                            server.target(),
+                            admission,
+                            server.heardNanos()));
+        }
+    }
+
+    /** Removes a backend server that leaves; calls that run there finish. */
+    synchronized boolean withdraw(String serverId) {
+        LocalServer gone = servers.remove(serverId);
+        if (gone == null) {
+            return false;
+        }
+        gone.admission().drain();
+        endpoints.withdraw(serverId);
+        log.info("backend server {} is gone", serverId);
+        return true;
+    }
+
+    /** Removes the servers that have been silent for too long. */
+    void expire() {
+        for (LocalServer server : all()) {
+            if (clock.since(server.heardNanos()).compareTo(SILENCE_LIMIT) > 0) {
+                log.warn("backend server {} has been silent", server.serverId());
+                guard.crashed(server.serverId());
+                withdraw(server.serverId());
+            }
+        }
+    }
+
+    /** Lets each controller shed queued calls whose time is up. */
+    void expireQueues() {
+        for (LocalServer server : servers.values()) {
+            server.admission().expire();
+        }
+    }
+
+    synchronized void withdrawAll() {
+        for (LocalServer server : all()) {
+            withdraw(server.serverId());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/OwnerPath.java
@@ -0,0 +1,219 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.admission.CallInfo;
+import dev.zinniaring.admission.CrashGuard;
+import dev.zinniaring.admission.Fingerprints;
+import dev.zinniaring.admission.Permit;
+import dev.zinniaring.admission.RunOutcome;
+import dev.zinniaring.kernel.Clock;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/** Runs calls at the backend servers beside this node, and has the last word on admission. */
+final class OwnerPath {
+    private static final int OVERLOADED = 503;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SWITCHING_PROTOCOLS = 101;
+
+    private final LocalServers servers;
+    private final CrashGuard guard;
+    private final HopClient client;
+    private final Clock clock;
+    private final int connectMillis;
+
+    OwnerPath(
+            LocalServers servers,
+            CrashGuard guard,
+            HopClient client,
+            Clock clock,
+            int connectMillis) {
+        this.servers = servers;
+        this.guard = guard;
+        this.client = client;
+        this.clock = clock;
+        this.connectMillis = connectMillis;
+    }
+
+    /**
+     * Runs a call and returns the head of the backend server's answer.
+     *
+     * @throws CallException if there is no answer; its outcome is {@code not-run} only if no byte
+     *     was sent
+     */
+    HopAnswer run(CallContext call, String serverId) throws CallException {
+        LocalServer server = servers.find(serverId);
+        if (server == null) {
+            throw CallException.notRun(503, "no-server");
+        }
+        long fingerprint = fingerprint(call);
+        checkGuard(serverId, fingerprint);
+        Permit permit =
+                AdmissionWait.admit(
+                        server.admission(),
+                        new CallInfo(call.rankOrder(), call.deadlineNanos()),
+                        call.deadlineNanos() - clock.nanos(),
+                        call.exchange().cancellation());
+        Run run = new Run(server, permit);
+        try {
+            checkGuard(serverId, fingerprint);
+            long leftNanos = call.deadlineNanos() - clock.nanos();
+            Request request = HopRequests.of(call, server.target(), leftNanos).build();
+            return run.send(call, request, fingerprint, leftNanos);
+        } catch (CallException | RuntimeException e) {
+            permit.release(RunOutcome.CANCELLED, 0);
+            throw e;
+        }
+    }
+
+    @Nullable LocalServer find(String serverId) {
+        return servers.find(serverId);
+    }
+
+    /** Tells the load of a backend server as another node would read it. */
+    void report(String serverId, LoadReport report) {
+        LocalServer server = servers.find(serverId);
+        if (server != null) {
+            report.take(server.load(), server.pressure());
+        }
+    }
+
+    private void checkGuard(String serverId, long fingerprint) throws CallException {
+        CrashGuard.Verdict verdict = guard.verdict(fingerprint);
+        if (verdict == CrashGuard.Verdict.HOLD) {
+            throw CallException.notRun(503, "crashes-servers");
+        }
+        if (verdict == CrashGuard.Verdict.RUN_APART && guard.suspectInFlight(serverId)) {
+            throw CallException.notRun(503, "suspect");
+        }
+    }
+
+    private static long fingerprint(CallContext call) {
+        Exchange exchange = call.exchange();
+        String key = call.key();
+        return key == null
+                ? Fingerprints.ofBody(
+                        call.route(), exchange.method(), exchange.target(), call.body().start())
+                : Fingerprints.ofKey(call.route(), exchange.method(), exchange.target(), key);
+    }
+
+    /** One admitted call. */
+    private final class Run {
+        private final LocalServer server;
+        private final Permit permit;
+        private final long startNanos = clock.nanos();
+
+        Run(LocalServer server, Permit permit) {
+            this.server = server;
+            this.permit = permit;
+        }
+
+        HopAnswer send(CallContext call, Request request, long fingerprint, long leftNanos)
+                throws CallException {
+            CrashGuard.Run guarded = guard.started(server.serverId(), fingerprint);
+            HopAnswer answer;
+            try {
+                answer = client.send(request, leftNanos, call.exchange().cancellation());
+            } catch (HopException e) {
+                throw failed(e, guarded);
+            }
+            Response response = answer.response();
+            answer.onEnd(end -> ended(end, response.code(), guarded));
+            check(call, answer);
+            return answer;
+        }
+
+        private void check(CallContext call, HopAnswer answer) throws CallException {
+            Response response = answer.response();
+            String callId = response.header(CallHeaders.CALL_ID);
+            String fault = null;
+            if (callId != null && !callId.equals(call.callId())) {
+                fault = "crossed-answer";
+            } else if (response.code() == SWITCHING_PROTOCOLS) {
+                fault = "bad-answer";
+            } else if (!answer.framed(call.exchange().method())) {
+                fault = "unframed-answer";
+            }
+            if (fault != null) {
+                answer.end(HopAnswer.End.UNREAD);
+                throw CallException.unknown(502, fault);
+            }
+        }
+
+        private void ended(HopAnswer.End end, int status, CrashGuard.Run guarded) {
+            switch (end) {
+                case WHOLE -> {
+                    guarded.completed();
+                    permit.release(outcome(status), elapsedNanos());
+                }
+                case BROKEN -> {
+                    guarded.broken();
+                    permit.release(RunOutcome.FAILED, elapsedNanos());
+                    checkForCrash();
+                }
+                default -> {
+                    guarded.abandoned();
+                    permit.release(RunOutcome.CANCELLED, elapsedNanos());
+                }
+            }
+        }
+
+        private static RunOutcome outcome(int status) {
+            return status == OVERLOADED || status == TOO_MANY_REQUESTS
+                    ? RunOutcome.OVERLOADED
+                    : RunOutcome.COMPLETED;
+        }
+
+        private CallException failed(HopException e, CrashGuard.Run guarded) {
+            return switch (e.kind()) {
+                case NOT_SENT -> {
+                    guarded.abandoned();
+                    permit.release(RunOutcome.CANCELLED, elapsedNanos());
+                    yield CallException.notRun(503, "connect-failed");
+                }
+                case BROKEN -> {
+                    guarded.broken();
+                    permit.release(RunOutcome.FAILED, elapsedNanos());
+                    checkForCrash();
+                    yield CallException.unknown(502, "broken");
+                }
+                case TIMED_OUT -> {
+                    guarded.abandoned();
+                    permit.release(RunOutcome.OVERLOADED, elapsedNanos());
+                    yield CallException.unknown(504, "deadline");
+                }
+                case CANCELLED -> {
+                    guarded.abandoned();
+                    permit.release(RunOutcome.CANCELLED, elapsedNanos());
+                    yield CallException.unknown(502, "cancelled");
+                }
+                case BAD_BODY -> {
+                    guarded.abandoned();
+                    permit.release(RunOutcome.CANCELLED, elapsedNanos());
+                    yield CallException.unknown(badBodyStatus(e), "bad-body");
+                }
+            };
+        }
+
+        private long elapsedNanos() {
+            return clock.nanos() - startNanos;
+        }
+
+        /** A server that breaks a connection and then refuses new ones has crashed. */
+        private void checkForCrash() {
+            InetSocketAddress address = server.announced().address();
+            try (Socket probe = new Socket()) {
+                probe.connect(address, connectMillis);
+            } catch (IOException e) {
+                guard.crashed(server.serverId());
+            }
+        }
+    }
+
+    private static int badBodyStatus(HopException e) {
+        return e.getCause() instanceof BodyException body ? body.status() : 400;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/PeerPath.java
@@ -0,0 +1,70 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.EndpointRecord;
+import okhttp3.Request;
+import okhttp3.Response;
+
+/** Sends calls to the node beside the chosen backend server. */
+final class PeerPath {
+    private final HopClient client;
+    private final Clock clock;
+
+    PeerPath(HopClient client, Clock clock) {
+        this.client = client;
+        this.clock = clock;
+    }
+
+    /**
+     * Sends a call and returns the head of the backend server's answer.
+     *
+     * @param report takes up what the node reports of the backend server's load
+     * @throws CallException if there is no answer of a backend server
+     */
+    HopAnswer run(CallContext call, EndpointRecord server, LoadReport report) throws CallException {
+        long leftNanos = call.deadlineNanos() - clock.nanos();
+        Request request =
+                HopRequests.of(call, server.callAddress(), leftNanos)
+                        .header(CallHeaders.OWNER_HOP, server.serverId())
+                        .build();
+        HopAnswer answer;
+        try {
+            answer = client.send(request, leftNanos, call.exchange().cancellation());
+        } catch (HopException e) {
+            throw refusal(e);
+        }
+        report.take(answer.response());
+        check(call, answer);
+        return answer;
+    }
+
+    private static void check(CallContext call, HopAnswer answer) throws CallException {
+        Response response = answer.response();
+        Outcome outcome = Outcome.of(response.header(CallHeaders.OUTCOME));
+        if (outcome != Outcome.RAN) {
+            String reason = response.header(CallHeaders.REASON, "unknown");
+            answer.end(HopAnswer.End.WHOLE);
+            throw outcome == Outcome.NOT_RUN
+                    ? CallException.notRun(response.code(), reason)
+                    : CallException.unknown(response.code(), reason);
+        }
+        if (!call.callId().equals(response.header(CallHeaders.CALL_ID))
+                || !answer.framed(call.exchange().method())) {
+            answer.end(HopAnswer.End.UNREAD);
+            throw CallException.unknown(502, "crossed-answer");
+        }
+    }
+
+    private static CallException refusal(HopException e) {
+        return switch (e.kind()) {
+            case NOT_SENT -> CallException.notRun(503, "node-unreachable");
+            case BROKEN -> CallException.unknown(502, "broken");
+            case TIMED_OUT -> CallException.unknown(504, "deadline");
+            case CANCELLED -> CallException.unknown(502, "cancelled");
+            case BAD_BODY -> {
+                int status = e.getCause() instanceof BodyException body ? body.status() : 400;
+                yield CallException.unknown(status, "bad-body");
+            }
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/Routes.java
@@ -0,0 +1,84 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.distribution.Endpoints;
+import dev.zinniaring.distribution.Versions;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.Pool;
+import dev.zinniaring.model.Version;
+import dev.zinniaring.routing.LiveRoutingTable;
+import dev.zinniaring.routing.RoutingException;
+import dev.zinniaring.routing.RoutingTable;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The routing table in force, and what is remembered of its pools. */
+final class Routes {
+    private static final Logger log = LoggerFactory.getLogger(Routes.class);
+
+    private final LiveRoutingTable live = new LiveRoutingTable();
+    private final Map<String, PoolState> pools = new ConcurrentHashMap<>();
+    private final Versions versions;
+    private final Endpoints endpoints;
+    private final Clock clock;
+
+    Routes(Versions versions, Endpoints endpoints, Clock clock) {
+        this.versions = versions;
+        this.endpoints = endpoints;
+        this.clock = clock;
+    }
+
+    /** Follows versions and endpoints from now on. */
+    void follow(Consumer<Version> alsoTold) {
+        versions.subscribe(version -> activate(version, alsoTold));
+        endpoints.subscribe(view -> refresh());
+        refresh();
+        versions.inForce().ifPresent(version -> activate(version, alsoTold));
+    }
+
+    Optional<RoutingTable> current() {
+        return live.current();
+    }
+
+    PoolState pool(Pool pool) {
+        PoolState state = pools.get(pool.name());
+        return state != null && state.pool().equals(pool) ? state : changed(pool);
+    }
+
+    private PoolState changed(Pool pool) {
+        return pools.compute(
+                pool.name(),
+                (name, before) ->
+                        before == null ? PoolState.of(pool, clock) : before.changedTo(pool, clock));
+    }
+
+    private void activate(Version version, Consumer<Version> alsoTold) {
+        try {
+            if (live.activate(version)) {
+                log.info("version {} is in force", version.number());
+                alsoTold.accept(version);
+            }
+        } catch (RoutingException e) {
+            log.error("version {} cannot be put in force", version.number(), e);
+        }
+    }
+
+    private void refresh() {
+        try {
+            live.refresh(() -> endpoints.view().all());
+            Set<String> present =
+                    endpoints.view().all().stream()
+                            .map(EndpointRecord::serverId)
+                            .collect(Collectors.toSet());
+            pools.values().forEach(pool -> pool.balancer().retain(present));
+        } catch (RoutingException e) {
+            log.error("the endpoints cannot be taken up", e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/dev/zinniaring/node/CallPathTest.java
@@ -0,0 +1,311 @@
+package dev.zinniaring.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.standins.BackendServer;
+import dev.zinniaring.standins.BackendServerBuilder;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CallPathTest {
+    private final OkHttpClient client =
+            new OkHttpClient.Builder().retryOnConnectionFailure(false).build();
+    private final TestMesh mesh = new TestMesh();
+    private final List<AutoCloseable> closed = new ArrayList<>();
+    private TestMesh.TestNode entry;
+    private TestMesh.TestNode owner;
+
+    @BeforeEach
+    void start() throws KernelException {
+        entry = mesh.node("entry");
+        owner = mesh.node("owner");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.connectionPool().evictAll();
+        for (AutoCloseable one : closed) {
+            one.close();
+        }
+        mesh.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 1_000, 65_535, 65_536, 65_537, 300_000, 3_000_000})
+    void aBodyPassesWholeBothWaysOverTwoNodes(int bytes) throws IOException {
+        serve(owner, BackendServer.builder("s1", "katalog"));
+        byte[] body = new byte[bytes];
+        new Random(7).nextBytes(body);
+
+        try (Response answer = post(entry, "/write/x?y=1", body)) {
+            assertThat(answer.code()).isEqualTo(200);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("ran");
+            assertThat(answer.header("Zinniaring-Load")).isNull();
+            assertThat(answer.body().bytes()).isEqualTo(body);
+        }
+    }
+
+    @Test
+    void aCallOfAServerBesideTheNodeStaysOnTheNode() throws IOException {
+        BackendServer server = serve(entry, BackendServer.builder("s1", "katalog"));
+
+        try (Response answer = post(entry, "/write", new byte[3], "Zinniaring-Call-Id", "c9")) {
+            assertThat(answer.code()).isEqualTo(200);
+            assertThat(answer.header("Zinniaring-Call-Id")).isEqualTo("c9");
+        }
+        assertThat(server.runs().of("c9")).isEqualTo(1);
+        assertThat(owner.calls.peerCallAddress().getPort()).isPositive();
+    }
+
+    /** Guards against P4: half an answer, or another call's answer, that is taken for whole. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "Content-Length: 10~~abc                                    | true  | broken",
+                "Transfer-Encoding: chunked~~5~abc                          | true  | broken",
+                "Transfer-Encoding: chunked~~zz~abc                         | true  | broken",
+                "Connection: close~~abc                                     | true  |"
+                        + " unframed-answer",
+                "Content-Length: 3~Content-Length: 4~~abc                   | true  |"
+                        + " unframed-answer",
+                "Content-Length: 3~Zinniaring-Call-Id: other~~abc           | false |"
+                        + " crossed-answer",
+            })
+    void aBrokenAnswerIsUnknownAndNeverWhole(String rest, boolean close, String reason)
+            throws IOException {
+        RawServer server = raw("HTTP/1.1 200 OK\r\n" + rest.replace("~", "\r\n"), close);
+        owner.serve("s1", "katalog", server.address());
+
+        try (Response answer = post(entry, "/write", new byte[0])) {
+            assertThat(answer.code()).isEqualTo(502);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("unknown");
+            assertThat(answer.header("Zinniaring-Reason")).isEqualTo(reason);
+        }
+        assertThat(server.requests()).isEqualTo(1);
+    }
+
+    /** Guards against a long answer that breaks off and is ended as if it were whole. */
+    @Test
+    void aLongAnswerThatBreaksOffClosesTheConnection() throws IOException {
+        String half = "x".repeat(200_000);
+        RawServer server =
+                raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf4240\r\n" + half, true);
+        owner.serve("s1", "katalog", server.address());
+
+        try (Response answer = post(entry, "/write", new byte[0])) {
+            assertThatThrownBy(() -> answer.body().bytes()).isInstanceOf(IOException.class);
+        }
+    }
+
+    /** Guards against bytes of one answer that are read as the answer to the next request. */
+    @Test
+    void bytesBeyondAnAnswerAreNotReadAsTheNextAnswer() throws Exception {
+        String one = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+        String late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+        RawServer server = raw(one + late, false);
+        owner.serve("s1", "katalog", server.address());
+
+        for (int i = 0; i < 5; i++) {
+            try (Response answer = post(entry, "/write", new byte[0])) {
+                assertThat(answer.body().string()).isEqualTo("abc");
+            }
+        }
+    }
+
+    /** Guards against P5 and P6: each fault, and whether the call can have run. */
+    @ParameterizedTest
+    @CsvSource({"/write, 502, unknown, 1", "/read, 502, unknown, 2"})
+    void aServerThatClosesIsTriedAgainOnlyOnIdempotentRoutes(
+            String path, int status, String outcome, int requests) throws IOException {
+        RawServer first = raw("", true);
+        RawServer second = raw("", true);
+        owner.serve("s1", "katalog", first.address());
+        owner.serve("s2", "katalog", second.address());
+
+        try (Response answer = post(entry, path, new byte[0])) {
+            assertThat(answer.code()).isEqualTo(status);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo(outcome);
+        }
+        assertThat(first.requests() + second.requests()).isEqualTo(requests);
+    }
+
+    @Test
+    void aServerThatDoesNotListenIsProvedNotRunAndTriedElsewhere() throws IOException {
+        BackendServer good = BackendServer.builder("s2", "katalog").build();
+        closed.add(good);
+        good.start();
+        owner.serve("s1", "katalog", closedPort());
+        owner.serve("s2", "katalog", good.address());
+
+        for (int i = 0; i < 4; i++) {
+            try (Response answer = post(entry, "/write", new byte[1])) {
+                assertThat(answer.code()).isEqualTo(200);
+            }
+        }
+        assertThat(good.runs().total()).isEqualTo(4);
+    }
+
+    @Test
+    void aCallWithoutAnyListeningServerIsNotRun() throws IOException {
+        owner.serve("s1", "katalog", closedPort());
+
+        try (Response answer = post(entry, "/write", new byte[1])) {
+            assertThat(answer.code()).isEqualTo(503);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("not-run");
+            assertThat(answer.header("Zinniaring-Reason")).isEqualTo("connect-failed");
+        }
+    }
+
+    /** Guards against OkHttp's own follow-up, which sends a 503 with Retry-After 0 again. */
+    @Test
+    void anAnswerOfAServerIsNeverSentAgain() throws Exception {
+        RawServer server =
+                raw("HTTP/1.1 503 Busy\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n", false);
+        owner.serve("s1", "katalog", server.address());
+
+        // The JDK's client, because OkHttp as the caller would itself send the call again.
+        HttpResponse<String> answer =
+                HttpClient.newHttpClient()
+                        .send(
+                                HttpRequest.newBuilder(URI.create(entry.url("/read"))).build(),
+                                HttpResponse.BodyHandlers.ofString());
+
+        assertThat(answer.statusCode()).isEqualTo(503);
+        assertThat(answer.headers().firstValue("Retry-After")).contains("0");
+        assertThat(answer.headers().firstValue("Zinniaring-Outcome")).contains("ran");
+        assertThat(server.requests()).isEqualTo(1);
+    }
+
+    /** Guards against a backend server or caller that sets the mesh's own headers. */
+    @Test
+    void headersOfTheMeshCannotBeForged() throws IOException {
+        RawServer server =
+                raw(
+                        "HTTP/1.1 200 OK\r\nZinniaring-Outcome: not-run\r\n"
+                                + "Zinniaring-Pressure: 0\r\nContent-Length: 0\r\n\r\n",
+                        false);
+        owner.serve("s1", "katalog", server.address());
+
+        try (Response answer =
+                post(entry, "/write", new byte[0], "Zinniaring-Owner-Hop", "elsewhere")) {
+            assertThat(answer.code()).isEqualTo(200);
+            assertThat(answer.headers("Zinniaring-Outcome")).containsExactly("ran");
+            assertThat(answer.header("Zinniaring-Pressure")).isNull();
+        }
+    }
+
+    @Test
+    void aDeadlineAfterDispatchIsUnknown() throws IOException {
+        RawServer server = raw("HTTP/1.1 200 OK\r\nContent-Le", false);
+        owner.serve("s1", "katalog", server.address());
+
+        try (Response answer = post(entry, "/short", new byte[0])) {
+            assertThat(answer.code()).isEqualTo(504);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("unknown");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "/nowhere,          Zinniaring-Depth,       1,  404, no-route",
+        "/write,            Zinniaring-Depth,       28, 400, too-deep",
+        "/write,            Zinniaring-Deadline-Ms, 0,  503, deadline",
+        "/write,            Idempotency-Key,        '', 400, bad-key",
+    })
+    void aCallThatCannotBeCarriedIsNotRun(
+            String path, String header, String value, int status, String reason)
+            throws IOException {
+        BackendServer server = serve(owner, BackendServer.builder("s1", "katalog"));
+
+        try (Response answer = post(entry, path, new byte[0], header, value)) {
+            assertThat(answer.code()).isEqualTo(status);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("not-run");
+            assertThat(answer.header("Zinniaring-Reason")).isEqualTo(reason);
+        }
+        assertThat(server.runs().total()).isZero();
+    }
+
+    /** Guards against P6: a key whose call has run must not run again. */
+    @Test
+    void aKeyThatWasSeenIsAnsweredWithoutRunningAgain() throws IOException {
+        BackendServer server = serve(owner, BackendServer.builder("s1", "katalog"));
+        for (int i = 0; i < 3; i++) {
+            try (Response answer =
+                    post(entry, "/write", "pay".getBytes(), "Idempotency-Key", "k1")) {
+                assertThat(answer.code()).isEqualTo(200);
+                assertThat(answer.body().string()).isEqualTo("pay");
+            }
+        }
+        assertThat(server.runs().total()).isEqualTo(1);
+
+        try (Response answer = post(entry, "/write", "other".getBytes(), "Idempotency-Key", "k1")) {
+            assertThat(answer.code()).isEqualTo(400);
+        }
+        Request resend =
+                request(entry, "/write", new byte[1])
+                        .header("Idempotency-Key", "k2")
+                        .header("Idempotency-Resend", "true")
+                        .build();
+        try (Response answer = client.newCall(resend).execute()) {
+            assertThat(answer.code()).isEqualTo(409);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("unknown");
+        }
+        assertThat(server.runs().total()).isEqualTo(1);
+    }
+
+    private BackendServer serve(TestMesh.TestNode node, BackendServerBuilder builder) {
+        BackendServer server = builder.connectionCostMicros(0).build();
+        closed.add(server);
+        server.start();
+        node.serve(server.serverId(), "katalog", server.address());
+        return server;
+    }
+
+    private RawServer raw(String answer, boolean close) throws IOException {
+        RawServer server = new RawServer(answer, close);
+        closed.add(server);
+        return server;
+    }
+
+    private static InetSocketAddress closedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private Response post(TestMesh.TestNode node, String path, byte[] body) throws IOException {
+        return client.newCall(request(node, path, body).build()).execute();
+    }
+
+    private Response post(
+            TestMesh.TestNode node, String path, byte[] body, String header, String value)
+            throws IOException {
+        return client.newCall(request(node, path, body).header(header, value).build()).execute();
+    }
+
+    private static Request.Builder request(TestMesh.TestNode node, String path, byte[] body) {
+        return new Request.Builder().url(node.url(path)).post(RequestBody.create(body));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/dev/zinniaring/node/RawServer.java
@@ -0,0 +1,80 @@
+package dev.zinniaring.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A backend server that reads a request's head and answers with given bytes, then may close. */
+final class RawServer implements AutoCloseable {
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final AtomicInteger requests = new AtomicInteger();
+    private final String answer;
+    private final boolean close;
+
+    RawServer(String answer, boolean close) throws IOException {
+        this.answer = answer;
+        this.close = close;
+        Thread thread = new Thread(this::serve, "raw-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    /** Returns the number of request heads that were read. */
+    int requests() {
+        return requests.get();
+    }
+
+    private void serve() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                Thread thread = new Thread(() -> serve(socket), "raw-connection");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            while (readHead(socket.getInputStream())) {
+                requests.incrementAndGet();
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream().flush();
+                if (close) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // The other side has closed the connection, which ends the test's exchange.
+        }
+    }
+
+    private static boolean readHead(InputStream in) throws IOException {
+        int matched = 0;
+        while (matched < 4) {
+            int read = in.read();
+            if (read < 0) {
+                return false;
+            }
+            matched = read == "\r\n\r\n".charAt(matched) ? matched + 1 : read == '\r' ? 1 : 0;
+        }
+        return true;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
