--- a/node/src/main/java/dev/zinniaring/node/KeyedCalls.java
+++ b/node/src/main/java/dev/zinniaring/node/KeyedCalls.java
@@ -44,7 +44,7 @@
             case RUNNING -> throw CallException.unknown(409, "key-running");
             case UNKNOWN -> throw CallException.unknown(409, "key-unknown");
             case MISMATCH -> throw CallException.notRun(400, "key-of-another-request");
-            case FULL -> throw CallException.notRun(503, "key-memory-full");
+            default -> throw CallException.notRun(503, "key-memory-full");
         }
     }
 
