Name the writer of distribution's codecs in full

Cause: MessageCodec has a nested Writer of its own now, which hides that of Wire in Codec. Change: Codec names Wire.Writer and Wire.Reader.

--- a/distribution/src/main/java/dev/zinniaring/distribution/Wire.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Wire.java
@@ -24,7 +24,11 @@
 
     /** A codec made of two functions. */
     record Codec<M extends Message>(
-            int type, Class<M> messageClass, Writer<M> writer, Reader<M> reader, Overflow overflow)
+            int type,
+            Class<M> messageClass,
+            Wire.Writer<M> writer,
+            Wire.Reader<M> reader,
+            Overflow overflow)
             implements MessageCodec<M> {
         @Override
         public void write(M message, MessagePacker out) throws IOException {
