--- a/standins/src/main/java/dev/zinniaring/standins/PlatformMain.java
+++ b/standins/src/main/java/dev/zinniaring/standins/PlatformMain.java
@@ -34,13 +34,17 @@
 
     /** Starts the server; exits with status 2 if the arguments are wrong. */
     public static void main(String[] args) {
-        int status = new PlatformMain().run(args, System.out, System.err);
+        int status = run(args, System.out, System.err);
         if (status != 0) {
             System.exit(status);
         }
     }
 
-    private int run(String[] args, PrintStream out, PrintStream err) {
+    static int run(String[] args, PrintStream out, PrintStream err) {
+        return new PlatformMain().parseAndStart(args, out, err);
+    }
+
+    private int parseAndStart(String[] args, PrintStream out, PrintStream err) {
         CmdLineParser parser =
                 new CmdLineParser(this, ParserProperties.defaults().withUsageWidth(100));
         try {
