--- a/publish/src/main/java/dev/zinniaring/publish/Head.java
+++ b/publish/src/main/java/dev/zinniaring/publish/Head.java
@@ -1,7 +1,14 @@
 package dev.zinniaring.publish;
 
 /**
- * The head row of a mesh: names its latest accepted version.
+ * The head row of a mesh: names its latest accepted version. The row holds one JSON object:
+ *
+ * <pre>{@code
+ * {"number": 12, "hash": "9f86d0...", "author": "ines",
+ *  "acceptedAtMillis": 1796356800000, "token": "0f3a..."}
+ * }</pre>
+ *
+ * <p>Its key is {@code mesh/<mesh>/head}; unknown fields are ignored.
  *
  * @param number the version's number, 0 for a mesh without any version
  * @param hash hash of the tables' canonical bytes; empty for number 0
