--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/NodeMain.java
@@ -0,0 +1,146 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.kernel.Problem;
+import dev.zinniaring.kernel.SettingsException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** The command {@code zinniaring-node}: runs one node until it is told to end. */
+public final class NodeMain {
+    private static final int OK = 0;
+    private static final int FAILED = 1;
+    private static final int BAD_SETTINGS = 2;
+
+    @Option(name = "--settings", metaVar = "FILE", usage = "run the node that FILE describes")
+    private @Nullable Path settingsFile;
+
+    @Option(name = "--check-settings", usage = "only check the settings, then exit")
+    private boolean checkSettings;
+
+    @Option(
+            name = "--dev",
+            usage =
+                    "run a platform in memory, a node and two sample backend servers in one process",
+            forbids = {"--settings", "--check-settings"})
+    private boolean dev;
+
+    @Option(name = "--version", usage = "print the version", help = true)
+    private boolean version;
+
+    @Option(name = "--help", usage = "print this help", help = true)
+    private boolean help;
+
+    private NodeMain() {}
+
+    /**
+     * Runs the command. Exit status 0 after a shutdown by a signal, 1 if the node cannot start, 2
+     * if the settings or options are wrong.
+     */
+    public static void main(String... args) {
+        int status = run(args, System.out, System.err);
+        if (status != OK) {
+            System.exit(status);
+        }
+    }
+
+    /** Runs the command and returns its exit status; a running node keeps the process alive. */
+    static int run(String[] args, PrintStream out, PrintStream err) {
+        NodeMain options = new NodeMain();
+        CmdLineParser parser = new CmdLineParser(options);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            err.println("zinniaring-node: " + e.getMessage());
+            usage(parser, err);
+            return BAD_SETTINGS;
+        }
+        if (options.help) {
+            usage(parser, out);
+            return OK;
+        }
+        return options.run(parser, out, err);
+    }
+
+    private static void usage(CmdLineParser parser, PrintStream to) {
+        to.println("usage: zinniaring-node --settings FILE [--check-settings] | --dev");
+        parser.printUsage(to);
+    }
+
+    private int run(CmdLineParser parser, PrintStream out, PrintStream err) {
+        if (version) {
+            String number = NodeMain.class.getPackage().getImplementationVersion();
+            out.println("zinniaring-node " + (number == null ? "development" : number));
+            return OK;
+        }
+        try {
+            if (dev) {
+                DevMesh mesh = DevMesh.start(out);
+                endOnSignal(mesh::close);
+                return OK;
+            }
+            Path file = settingsFile;
+            if (file == null) {
+                err.println("zinniaring-node: --settings FILE or --dev is required");
+                usage(parser, err);
+                return BAD_SETTINGS;
+            }
+            return run(NodeSettings.read(file), out);
+        } catch (SettingsException e) {
+            err.println("zinniaring-node: the settings are refused:");
+            for (Problem problem : e.problems()) {
+                err.println("  " + problem);
+            }
+            return BAD_SETTINGS;
+        } catch (KernelException e) {
+            err.println("zinniaring-node: " + e.getMessage());
+            return FAILED;
+        }
+    }
+
+    private int run(NodeSettings settings, PrintStream out) throws KernelException {
+        if (checkSettings) {
+            out.println("the settings of node " + settings.nodeId() + " are good");
+            return OK;
+        }
+        Logs.configure(settings.log());
+        Node node = Node.builder(settings).build();
+        try {
+            node.start();
+        } catch (KernelException e) {
+            node.close();
+            throw e;
+        }
+        endOnSignal(() -> node.shutDown(Duration.ofMillis(settings.limits().drainMillis())));
+        return OK;
+    }
+
+    /** Keeps the process alive until a signal, then runs the action before it ends. */
+    private static void endOnSignal(Runnable action) {
+        CountDownLatch ended = new CountDownLatch(1);
+        Thread alive = new Thread(() -> awaitUninterrupted(ended), "main-alive");
+        alive.start();
+        Thread hook =
+                new Thread(
+                        () -> {
+                            action.run();
+                            ended.countDown();
+                        },
+                        "shutdown");
+        Runtime.getRuntime().addShutdownHook(hook);
+    }
+
+    private static void awaitUninterrupted(CountDownLatch ended) {
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/standins/src/main/java/dev/zinniaring/standins/BackendServerAnnouncer.java
+++ b/standins/src/main/java/dev/zinniaring/standins/BackendServerAnnouncer.java
@@ -49,7 +49,7 @@
         try (Response response = client.newCall(request.build()).execute()) {
             if (!response.isSuccessful()) {
                 throw new IOException(
-                        "status " + response.code() + ": " + response.body().string());
+                        "status " + response.code() + ": " + response.body().string().trim());
             }
             reached = true;
         } catch (IOException e) {
