Measure convergence, restart storms and cost slopes

Cause: convergence, recovery and the cost of control were not measured. Change: the experiments convergence, restart-storm and scale-slopes on real control nodes over loopback, each with the polling baseline; sizes without end effects of the start.

--- /dev/null
+++ b/bench/src/main/java/dev/zinniaring/bench/ConvergenceExperiment.java
@@ -0,0 +1,68 @@
+package dev.zinniaring.bench;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Measures the time from the acceptance of a change until the last node has it in force, and the
+ * bytes across zones that it takes, against every node polling the platform once a second.
+ */
+final class ConvergenceExperiment implements Experiment {
+    private static final double LOSS = 0.01;
+    private static final int CHANGES = 24;
+    private static final Duration PERIOD = Duration.ofMillis(350);
+    private static final Duration START_LIMIT = Duration.ofSeconds(20);
+
+    @Override
+    public String name() {
+        return "convergence";
+    }
+
+    @Override
+    public String summary() {
+        return "time until all nodes follow a change, and bytes across zones, at 1% loss";
+    }
+
+    @Override
+    public Report run(long seed) throws ExperimentException {
+        List<Figures> figures = new ArrayList<>();
+        List<Figures> baselines = new ArrayList<>();
+        for (Deployment deployment : Deployment.ALL) {
+            figures.add(pushed(deployment, seed));
+            baselines.add(polled(deployment, seed));
+        }
+        Report report = Report.of(Figures.largest(figures), Figures.largest(baselines));
+        for (int i = 0; i < figures.size(); i++) {
+            report.deployment(Deployment.ALL.get(i).name(), figures.get(i), baselines.get(i));
+        }
+        return report.note(
+                "A change every 350 ms, so steady traffic is counted in. Bytes across zones are those"
+                        + " between nodes of different zones and all those to and from the"
+                        + " platform, which lies in no zone.");
+    }
+
+    private static Figures pushed(Deployment deployment, long seed) throws ExperimentException {
+        try (ControlMesh mesh = ControlMesh.of(deployment, seed)) {
+            mesh.conditions(deployment.zones(), deployment.oneWay(), LOSS);
+            mesh.startAll();
+            ChangeSeries series = new ChangeSeries(mesh, deployment, mesh.nodes().size());
+            mesh.nodes().forEach(node -> node.versions().subscribe(series::inForce));
+            series.publishFirst();
+            mesh.awaitAll(1, START_LIMIT);
+            mesh.awaitWhole(START_LIMIT);
+            return series.run(CHANGES, PERIOD);
+        }
+    }
+
+    private static Figures polled(Deployment deployment, long seed) throws ExperimentException {
+        try (ControlMesh mesh = ControlMesh.of(deployment, seed);
+                PollingNodes nodes = new PollingNodes(mesh)) {
+            ChangeSeries series = new ChangeSeries(mesh, deployment, nodes.size());
+            nodes.start(series::inForce);
+            series.publishFirst();
+            nodes.awaitAll(1, START_LIMIT);
+            return series.run(CHANGES, PERIOD);
+        }
+    }
+}
--- a/bench/src/main/java/dev/zinniaring/bench/Experiments.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -5,7 +5,11 @@
 
 /** All experiments, in the order in which they are listed. */
 final class Experiments {
-    static final List<Experiment> ALL = List.of();
+    static final List<Experiment> ALL =
+            List.of(
+                    new ConvergenceExperiment(),
+                    new RestartStormExperiment(),
+                    new ScaleSlopesExperiment());
 
     private Experiments() {}
 
--- a/bench/src/main/java/dev/zinniaring/bench/Figures.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Figures.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.bench;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -40,6 +41,23 @@
         return this;
     }
 
+    /** Returns the largest value of each field, for fields where more is worse. */
+    static Figures largest(List<Figures> all) {
+        Figures largest = none();
+        for (Figures figures : all) {
+            figures.values.forEach(
+                    (name, value) -> largest.values.merge(name, value, Figures::larger));
+        }
+        return largest;
+    }
+
+    private static Object larger(Object a, Object b) {
+        if (a instanceof Number x && b instanceof Number y) {
+            return x.doubleValue() >= y.doubleValue() ? a : b;
+        }
+        return a;
+    }
+
     /** Returns a number that was added. */
     public double get(String name) {
         Object value = values.get(name);
