Fit every probe into a datagram and rejoin when alone

Cause: Names of the greatest length and a full set of updates exceeded 1,400 bytes, so such probes were never sent. Accepted links could use up the links that a node needs to open its own.

Change: Names are up to 63 ASCII characters, updates take at most 800 bytes of a datagram. A node without any other live member joins anew with back-off. A quarter of the links is kept for outgoing ones.

--- a/membership/src/main/java/dev/zinniaring/membership/Joiner.java
+++ b/membership/src/main/java/dev/zinniaring/membership/Joiner.java
@@ -9,8 +9,8 @@
 import java.util.List;
 
 /**
- * Joins through seeds until one has told of all members, and takes in those that join through this
- * node. Guarded by the lock of {@link GossipMembership}.
+ * Joins through seeds until one has told of all members, and again when no other member is left;
+ * takes in those that join through this node. Guarded by the lock of {@link GossipMembership}.
  */
 final class Joiner {
     private final Core core;
@@ -33,7 +33,12 @@
 
     void tick() {
         long now = core.now();
-        if (joined || now - nextAttemptNanos < 0) {
+        boolean isolated = core.view().live().size() == 1 && !seeds.isEmpty();
+        if (joined && !isolated) {
+            backOff.reset();
+            return;
+        }
+        if (now - nextAttemptNanos < 0) {
             return;
         }
         nextAttemptNanos = now + backOff.next().toNanos();
--- a/membership/src/main/java/dev/zinniaring/membership/Piggyback.java
+++ b/membership/src/main/java/dev/zinniaring/membership/Piggyback.java
@@ -12,7 +12,7 @@
  */
 final class Piggyback {
     /** Room for updates in a datagram, which leaves the rest for the greeting and the probe. */
-    static final int MAX_BYTES = 900;
+    static final int MAX_BYTES = 800;
 
     private static final int MAX_UPDATES = 1_024;
     private static final int TRANSMISSIONS_PER_DOUBLING = 3;
--- a/transport/src/main/java/dev/zinniaring/transport/Fields.java
+++ b/transport/src/main/java/dev/zinniaring/transport/Fields.java
@@ -11,7 +11,7 @@
  * before it allocates.
  */
 public final class Fields {
-    /** Longest name that every reader accepts, whatever its characters. */
+    /** Longest name of a mesh, node or zone. */
     static final int MAX_NAME_CHARS = 63;
 
     private static final int MAX_NAME_BYTES = 255;
--- a/transport/src/main/java/dev/zinniaring/transport/LinkTable.java
+++ b/transport/src/main/java/dev/zinniaring/transport/LinkTable.java
@@ -192,7 +192,9 @@
     }
 
     private void admit(SocketChannel channel) throws IOException {
-        boolean room = links.size() < context.limits().maxLinks();
+        // A part is kept for links that this node opens, however many strangers connect.
+        int maxLinks = context.limits().maxLinks();
+        boolean room = links.size() < maxLinks - maxLinks / 4;
         if (closed || !room || !accepts.tryTake(context.clock().nanos())) {
             context.counters().fault(TransportFault.ACCEPT_REFUSED);
             channel.close();
--- a/transport/src/main/java/dev/zinniaring/transport/TcpNetworkBuilder.java
+++ b/transport/src/main/java/dev/zinniaring/transport/TcpNetworkBuilder.java
@@ -4,10 +4,13 @@
 import dev.zinniaring.kernel.Scheduler;
 import java.net.InetSocketAddress;
 import java.util.random.RandomGenerator;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /** Collects what a {@link TcpNetwork} needs. */
 public final class TcpNetworkBuilder {
+    private static final Pattern NAME = Pattern.compile("[!-~]{1," + Fields.MAX_NAME_CHARS + "}");
+
     private String mesh = "";
     private String nodeId = "";
     private String zone = "";
@@ -122,13 +125,14 @@
                         loop));
     }
 
+    /** Names are ASCII, so that the size of a datagram follows from their length. */
     private static void requireName(String field, String value) {
-        if (value.isBlank() || value.length() > Fields.MAX_NAME_CHARS) {
+        if (!NAME.matcher(value).matches()) {
             throw new IllegalArgumentException(
                     field
                             + " must have 1 to "
                             + Fields.MAX_NAME_CHARS
-                            + " characters, was \""
+                            + " printable ASCII characters without spaces, was \""
                             + value
                             + "\"");
         }
--- a/transport/src/test/java/dev/zinniaring/transport/TcpNetworkTest.java
+++ b/transport/src/test/java/dev/zinniaring/transport/TcpNetworkTest.java
@@ -6,6 +6,7 @@
 import dev.zinniaring.transport.TestNetworks.Node;
 import dev.zinniaring.transport.TrafficCounters.Direction;
 import dev.zinniaring.transport.TrafficCounters.Flow;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.stream.LongStream;
@@ -186,6 +187,28 @@
         assertThat(a.network().state().links()).isEmpty();
     }
 
+    @Test
+    void registersItsCountersForPrometheus() throws Exception {
+        Node a = networks.start("a", "z1", 1);
+        Node b = networks.start("b", "z2", 1);
+        a.network().send(b.peer(), Note.of(1));
+        assertThat(b.receive()).isEqualTo(1);
+        PrometheusRegistry registry = new PrometheusRegistry();
+        a.network().counters().register(registry);
+        assertThat(registry.scrape().stream().map(m -> m.getMetadata().getName()))
+                .containsExactlyInAnyOrder(
+                        "zinniaring_transport_messages",
+                        "zinniaring_transport_bytes",
+                        "zinniaring_transport_faults");
+    }
+
+    @Test
+    void refusesNamesThatDoNotFitADatagram() {
+        assertThatThrownBy(() -> TcpNetwork.builder().mesh("has space").build())
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("has space");
+    }
+
     @Test
     void rejectsTwoCodecsOfOneType() throws Exception {
         Node a = networks.start("a", "z1", 1);
