--- a/membership/src/main/java/dev/zinniaring/membership/Member.java
+++ b/membership/src/main/java/dev/zinniaring/membership/Member.java
@@ -4,8 +4,8 @@
 
 /**
  * A node of the mesh as others see it. Of two views of one node the one with the later life is
- * newer, then the one with the higher incarnation; at equal incarnations {@code LEFT} and {@code
- * DEAD} override {@code SUSPECT}, which overrides {@code ALIVE}.
+ * newer, then the one with the higher incarnation; at equal incarnations {@code LEFT} overrides
+ * {@code DEAD}, which overrides {@code SUSPECT}, which overrides {@code ALIVE}.
  *
  * @param peer how to reach it
  * @param incarnation its life, raised when it refutes a suspicion; starts as the start time in
@@ -65,7 +65,8 @@
         return switch (state) {
             case ALIVE -> 0;
             case SUSPECT -> 1;
-            case DEAD, LEFT -> 2;
+            case DEAD -> 2;
+            case LEFT -> 3;
         };
     }
 }
--- /dev/null
+++ b/membership/src/test/java/dev/zinniaring/membership/DetectionTimes.java
@@ -0,0 +1,49 @@
+package dev.zinniaring.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Prints the simulated time until a whole zone knows of a crash.
+ *
+ * <pre>{@code
+ * DetectionTimes NODES SEEDS
+ * }</pre>
+ */
+final class DetectionTimes {
+    private DetectionTimes() {}
+
+    public static void main(String[] arguments) {
+        int nodes = Integer.parseInt(arguments[0]);
+        int seeds = Integer.parseInt(arguments[1]);
+        List<Long> millis = new ArrayList<>();
+        for (long seed = 1; seed <= seeds; seed++) {
+            millis.add(millisUntilKnown(nodes, seed));
+        }
+        millis.sort(null);
+        System.out.printf(
+                "nodes %d runs %d median_ms %d p95_ms %d max_ms %d%n",
+                nodes,
+                seeds,
+                millis.get(seeds / 2),
+                millis.get(seeds * 95 / 100),
+                millis.get(seeds - 1));
+    }
+
+    static long millisUntilKnown(int nodes, long seed) {
+        SimMesh mesh = new SimMesh(seed);
+        mesh.start(1, nodes);
+        mesh.run(Duration.ofSeconds(20));
+        mesh.crash("n4", false);
+        long start = mesh.clock.nanos();
+        while (mesh.running().stream().anyMatch(DetectionTimes::seesTheCrashed)) {
+            mesh.run(Duration.ofMillis(100));
+        }
+        return Duration.ofNanos(mesh.clock.nanos() - start).toMillis();
+    }
+
+    private static boolean seesTheCrashed(SimNode viewer) {
+        return viewer.membership.view().member("n4").filter(Member::live).isPresent();
+    }
+}
--- a/membership/src/test/java/dev/zinniaring/membership/SteadyStateCost.java
+++ b/membership/src/test/java/dev/zinniaring/membership/SteadyStateCost.java
@@ -32,6 +32,8 @@
             Map<String, Double> after = totals(started);
             double seconds = (after.get("nanos") - before.get("nanos")) / 1e9;
             System.out.printf("nodes %d zones %d settled %s%n", nodes, zones, settled);
+            int links = started.stream().mapToInt(n -> n.network().state().links().size()).sum();
+            System.out.printf("  links at the end %.1f a node%n", links / (double) nodes);
             after.forEach(
                     (name, total) -> {
                         double each = (total - before.getOrDefault(name, 0.0)) / nodes / seconds;
