--- a/routing/src/main/java/dev/zinniaring/routing/LeastLoadedBalancer.java
+++ b/routing/src/main/java/dev/zinniaring/routing/LeastLoadedBalancer.java
@@ -23,6 +23,7 @@
  */
 public final class LeastLoadedBalancer implements Balancer {
     private static final int DRAWS = 8;
+    private static final int NONE = -1;
     private static final double LEAST_WARMTH = 0.1;
 
     private final Clock clock;
@@ -116,15 +117,17 @@
 
     private @Nullable EndpointRecord lessLoaded(
             List<EndpointRecord> endpoints, Set<String> excluded, long nowNanos) {
-        EndpointRecord first = draw(endpoints, excluded, null, nowNanos);
-        if (first == null || endpoints.size() == 1) {
-            return first;
+        int first = draw(endpoints, excluded, NONE, nowNanos);
+        if (first == NONE) {
+            return null;
         }
-        EndpointRecord second = draw(endpoints, excluded, first, nowNanos);
-        if (second == null) {
-            return first;
+        EndpointRecord one = endpoints.get(first);
+        int second = draw(endpoints, excluded, first, nowNanos);
+        if (second == NONE) {
+            return one;
         }
-        return score(first, nowNanos) <= score(second, nowNanos) ? first : second;
+        EndpointRecord other = endpoints.get(second);
+        return score(one, nowNanos) <= score(other, nowNanos) ? one : other;
     }
 
     /** Returns the load that a server would have with this call. */
@@ -133,27 +136,20 @@
         return (stats.load(nowNanos) + 1) / stats.capacity(endpoint.slots());
     }
 
-    private @Nullable EndpointRecord draw(
-            List<EndpointRecord> endpoints,
-            Set<String> excluded,
-            @Nullable EndpointRecord other,
-            long nowNanos) {
-        if (endpoints.isEmpty()) {
-            return null;
-        }
-        for (int attempt = 0; attempt < DRAWS; attempt++) {
-            EndpointRecord endpoint = endpoints.get(random.nextInt(endpoints.size()));
-            if (!same(endpoint, other)
-                    && !excluded.contains(endpoint.serverId())
-                    && accepts(endpoint, nowNanos)) {
-                return endpoint;
+    /** Returns the index of a random endpoint that may be chosen, other than {@code taken}. */
+    private int draw(
+            List<EndpointRecord> endpoints, Set<String> excluded, int taken, long nowNanos) {
+        int size = endpoints.size();
+        int others = taken == NONE ? size : size - 1;
+        for (int attempt = 0; attempt < DRAWS && others > 0; attempt++) {
+            int offset = random.nextInt(others);
+            int index = taken == NONE ? offset : (taken + 1 + offset) % size;
+            EndpointRecord endpoint = endpoints.get(index);
+            if (!excluded.contains(endpoint.serverId()) && accepts(endpoint, nowNanos)) {
+                return index;
             }
         }
-        return null;
-    }
-
-    private static boolean same(EndpointRecord endpoint, @Nullable EndpointRecord other) {
-        return other != null && endpoint.serverId().equals(other.serverId());
+        return NONE;
     }
 
     private boolean accepts(EndpointRecord endpoint, long nowNanos) {
