Ask seeds by datagram and spend fewer bytes across zones

Cause: A seed accepts 512 links, so a restarted fleet could not ask it over TCP; every starting node without a majority read the head at the same moment; a digest between zones fetched buckets whose change was merely on its way. Change: Mark queries go by datagram to known seeds, head reads of starting nodes are spread over 5 ms for each live node, and a bucket is pulled across zones only when it differs twice in a row. Listeners that throw no longer stop a forward.

--- a/distribution/src/main/java/dev/zinniaring/distribution/Context.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Context.java
@@ -5,6 +5,7 @@
 import dev.zinniaring.membership.MemberView;
 import dev.zinniaring.membership.Membership;
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 import dev.zinniaring.transport.Network;
 import java.time.Duration;
 import java.util.function.BiConsumer;
@@ -39,7 +40,7 @@
 
     /** Handles one type of message in the mailbox. */
     <M extends Message> void handle(
-            Wire.Codec<M> codec, BiConsumer<dev.zinniaring.transport.Peer, M> handler) {
+            MessageCodec<M> codec, BiConsumer<dev.zinniaring.transport.Peer, M> handler) {
         network.handle(codec, (from, message) -> mailbox.post(() -> handler.accept(from, message)));
     }
 
--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointBatch.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointBatch.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * Endpoint records for a peer.
@@ -10,7 +11,7 @@
  * @param packed an {@link EndpointBlock}
  */
 record EndpointBatch(long wholeBuckets, byte[] packed) implements Message {
-    static final Wire.Codec<EndpointBatch> CODEC =
+    static final MessageCodec<EndpointBatch> CODEC =
             Wire.repairable(
                     50,
                     EndpointBatch.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointDigest.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointDigest.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 import java.io.IOException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -16,7 +17,7 @@
     // Odd, so that no bit of a bucket is lost.
     private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
 
-    static final Wire.Codec<EndpointDigest> CODEC =
+    static final MessageCodec<EndpointDigest> CODEC =
             Wire.repairable(52, EndpointDigest.class, EndpointDigest::write, EndpointDigest::read);
 
     /** Returns the hash of all bucket hashes. */
--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointDistribution.java
@@ -6,13 +6,13 @@
 import dev.zinniaring.membership.Membership;
 import dev.zinniaring.model.EndpointRecord;
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 import dev.zinniaring.transport.Network;
 import dev.zinniaring.transport.Peer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -41,7 +41,7 @@
     private final EndpointOutbox outbox;
     private final EndpointRepair repair;
     private final LivenessFilter liveness;
-    private final List<Consumer<EndpointView>> listeners = new CopyOnWriteArrayList<>();
+    private final Listeners<EndpointView> listeners = new Listeners<>();
     private final List<Cancellable> timers = new ArrayList<>();
     private volatile boolean running;
 
@@ -72,7 +72,12 @@
         timers.add(context.every(timings.endpointBatch(), outbox::flush));
         timers.add(context.every(timings.digest(), repair::sendDigests));
         timers.add(context.every(SWEEP, this::sweep));
-        context.after(context.jitter(timings.startJitter()), this::pullUntilSynced);
+        context.mailbox()
+                .post(
+                        () ->
+                                context.after(
+                                        context.jitter(timings.startJitter()),
+                                        this::pullUntilSynced));
     }
 
     /** Stops spreading, after sending what is pending. The view stays readable. */
@@ -118,7 +123,7 @@
         return context.mailbox().failures();
     }
 
-    private <M extends Message> void handle(Wire.Codec<M> codec, BiConsumer<Peer, M> handler) {
+    private <M extends Message> void handle(MessageCodec<M> codec, BiConsumer<Peer, M> handler) {
         context.handle(
                 codec,
                 (from, message) -> {
@@ -198,10 +203,7 @@
     }
 
     private void changed() {
-        EndpointView view = store.view();
-        for (Consumer<EndpointView> listener : listeners) {
-            listener.accept(view);
-        }
+        listeners.call(store.view());
     }
 
     /** Collects the parts of an {@link EndpointDistribution}. */
--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointPull.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointPull.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * Asks a peer for its endpoint records.
@@ -8,7 +9,7 @@
  * @param buckets bit set of the buckets wanted
  */
 record EndpointPull(long buckets) implements Message {
-    static final Wire.Codec<EndpointPull> CODEC =
+    static final MessageCodec<EndpointPull> CODEC =
             Wire.repairable(
                     51,
                     EndpointPull.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointRepair.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointRepair.java
@@ -4,7 +4,9 @@
 import dev.zinniaring.transport.Peer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -14,12 +16,14 @@
 final class EndpointRepair {
     private static final long ALL_BUCKETS = -1L;
     private static final int RECORDS_PER_BATCH = 2_000;
+    private static final int MAX_BUCKETS_IN_FLIGHT = 16;
     private static final double LISTS_PER_SECOND = 20;
     private static final double LISTS_AT_ONCE = 40;
 
     private final Context context;
     private final EndpointStore store;
     private final TokenBucket lists;
+    private final Map<String, Long> suspects = new HashMap<>();
     private long syncedBuckets;
     private long differences;
     private long refusedPulls;
@@ -46,14 +50,33 @@
     void onDigest(Peer from, EndpointDigest digest) {
         long[] own = store.digest();
         if (EndpointDigest.summary(own) == digest.summary()) {
+            suspects.remove(from.zone());
             return;
         }
         if (digest.buckets().length == 0) {
             differences++;
             context.network().send(from, EndpointDigest.of(own));
         } else {
-            context.network().send(from, new EndpointPull(digest.differing(own)));
+            long buckets = toPull(from, digest.differing(own));
+            if (buckets != 0) {
+                context.network().send(from, new EndpointPull(buckets));
+            }
+        }
+    }
+
+    /**
+     * Returns which differing buckets to pull. A bucket may differ only because a change is on its
+     * way; between zones, where bytes are dear, it is pulled when it differs twice in a row. Many
+     * differing buckets mean that this node was cut off.
+     */
+    private long toPull(Peer from, long differing) {
+        boolean dear = !from.zone().equals(context.zone());
+        if (!dear || Long.bitCount(differing) > MAX_BUCKETS_IN_FLIGHT) {
+            return differing;
         }
+        long before = suspects.getOrDefault(from.zone(), 0L);
+        suspects.put(from.zone(), differing);
+        return differing & before;
     }
 
     void onPull(Peer from, EndpointPull pull) {
--- a/distribution/src/main/java/dev/zinniaring/distribution/FloorFinder.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/FloorFinder.java
@@ -1,13 +1,20 @@
 package dev.zinniaring.distribution;
 
+import dev.zinniaring.membership.Member;
 import dev.zinniaring.transport.Peer;
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.LongConsumer;
+import org.jspecify.annotations.Nullable;
 
 /** Asks the seeds, and failing them the platform, for a starting node's floor. */
 final class FloorFinder {
     private static final Duration HEAD_READ = Duration.ofSeconds(2);
+    // 200 reads/s for a fleet of any size.
+    private static final Duration HEAD_READ_SPREAD = Duration.ofMillis(5);
     private static final Duration MAX_HEAD_READ = Duration.ofSeconds(10);
 
     private final Context context;
@@ -34,9 +41,14 @@
     }
 
     void start() {
-        ask();
-        Duration head = desk.unconfirmed() ? Duration.ZERO : context.timings().headAfter();
-        context.after(head.plus(context.jitter(context.timings().startJitter())), this::readHead);
+        Duration jitter = context.jitter(context.timings().startJitter());
+        if (desk.unconfirmed()) {
+            ask();
+            context.after(jitter, this::readHead);
+        } else {
+            context.after(jitter, this::ask);
+            context.after(context.timings().headAfter(), this::readHeadInTurn);
+        }
     }
 
     void stop() {
@@ -65,17 +77,42 @@
             return;
         }
         MarkQuery query = new MarkQuery(nonce);
+        Map<InetSocketAddress, Peer> known = knownPeers();
         for (String seed : seeds.names()) {
             if (desk.isSelf(seed)) {
                 desk.answer(query).ifPresent(reply -> heard(seed, reply));
             } else if (!decision.has(seed)) {
-                context.network().send(seeds.address(seed), query);
+                send(known.get(seeds.address(seed)), seeds.address(seed), query);
             }
         }
         Duration retry = context.timings().retry();
         context.after(retry.plus(context.jitter(retry.dividedBy(2))), this::ask);
     }
 
+    /** Uses a datagram if it can: a seed cannot keep a link with each node of the fleet. */
+    private void send(@Nullable Peer known, InetSocketAddress seed, MarkQuery query) {
+        if (known == null) {
+            context.network().send(seed, query);
+        } else {
+            context.network().datagram(known, query);
+        }
+    }
+
+    private Map<InetSocketAddress, Peer> knownPeers() {
+        Map<InetSocketAddress, Peer> known = new HashMap<>();
+        for (Member member : context.view().live()) {
+            known.put(member.peer().controlAddress(), member.peer());
+        }
+        return known;
+    }
+
+    /** Spreads the reads of a restarted fleet, so that their rate does not grow with its size. */
+    private void readHeadInTurn() {
+        context.after(
+                context.jitter(HEAD_READ_SPREAD.multipliedBy(context.view().live().size())),
+                this::readHead);
+    }
+
     private void readHead() {
         boolean needed = desk.unconfirmed() || decision.floor().isEmpty();
         if (stopped || !needed) {
--- a/distribution/src/main/java/dev/zinniaring/distribution/MarkReply.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/MarkReply.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * A seed's answer to {@link MarkQuery}.
@@ -10,7 +11,7 @@
  * @param confirmed whether the answer counts
  */
 record MarkReply(long nonce, long mark, boolean confirmed) implements Message {
-    static final Wire.Codec<MarkReply> CODEC =
+    static final MessageCodec<MarkReply> CODEC =
             Wire.repairable(
                     43,
                     MarkReply.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/PollingDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/PollingDistribution.java
@@ -5,10 +5,8 @@
 import dev.zinniaring.model.Version;
 import dev.zinniaring.publish.VersionSource;
 import java.time.Duration;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -20,7 +18,7 @@
  */
 public final class PollingDistribution implements Versions {
     private final VersionState state = new VersionState();
-    private final List<Consumer<Version>> listeners = new CopyOnWriteArrayList<>();
+    private final Listeners<Version> listeners = new Listeners<>();
     private final Scheduler scheduler;
     private final Duration period;
     private final HeadReader reader;
@@ -84,7 +82,7 @@
         @Override
         public void found(HeldVersion version) {
             if (state.offer(version) == VersionState.Outcome.IN_FORCE) {
-                listeners.forEach(listener -> listener.accept(version.version()));
+                listeners.call(version.version());
             }
         }
     }
--- a/distribution/src/main/java/dev/zinniaring/distribution/RecordAck.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/RecordAck.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * A seed's answer to {@link RecordRequest}.
@@ -11,7 +12,7 @@
  * @param life the seed's life; its mark is kept for one life only
  */
 record RecordAck(long number, int phase, boolean confirmed, long life) implements Message {
-    static final Wire.Codec<RecordAck> CODEC =
+    static final MessageCodec<RecordAck> CODEC =
             Wire.repairable(
                     41,
                     RecordAck.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/RecordRequest.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/RecordRequest.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * Asks a seed to raise its mark. Named {@code Record} in the design; that name would hide {@link
@@ -10,7 +11,7 @@
  * @param phase counts the sender's requests for this version, from 1
  */
 record RecordRequest(long number, int phase) implements Message {
-    static final Wire.Codec<RecordRequest> CODEC =
+    static final MessageCodec<RecordRequest> CODEC =
             Wire.repairable(
                     40,
                     RecordRequest.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/SeedDesk.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/SeedDesk.java
@@ -58,7 +58,7 @@
     }
 
     void onQuery(Peer from, MarkQuery query) {
-        answer(query).ifPresent(reply -> context.network().send(from, reply));
+        answer(query).ifPresent(reply -> context.network().datagram(from, reply));
     }
 
     long mark() {
--- a/distribution/src/main/java/dev/zinniaring/distribution/Timings.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Timings.java
@@ -30,7 +30,7 @@
                 Duration.ofMillis(100),
                 Duration.ofMillis(200),
                 Duration.ofSeconds(1),
-                Duration.ofSeconds(1),
+                Duration.ofSeconds(2),
                 Duration.ofSeconds(5));
     }
 }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionBody.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionBody.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * A whole recorded version.
@@ -10,7 +11,7 @@
  * @param packedBody its canonical bytes, compressed
  */
 record VersionBody(long number, String hash, byte[] packedBody) implements Message {
-    static final Wire.Codec<VersionBody> CODEC =
+    static final MessageCodec<VersionBody> CODEC =
             Wire.repairable(
                     46,
                     VersionBody.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionDigest.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionDigest.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * Names the version that the sender holds. The receiver pulls it or pushes its own.
@@ -9,7 +10,7 @@
  * @param hash its hash, empty for none
  */
 record VersionDigest(long number, String hash) implements Message {
-    static final Wire.Codec<VersionDigest> CODEC =
+    static final MessageCodec<VersionDigest> CODEC =
             Wire.repairable(
                     47,
                     VersionDigest.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionDistribution.java
@@ -6,13 +6,13 @@
 import dev.zinniaring.model.Version;
 import dev.zinniaring.publish.VersionSource;
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 import dev.zinniaring.transport.Network;
 import dev.zinniaring.transport.Peer;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -37,7 +37,7 @@
     private final List<InetSocketAddress> seeds;
     private final boolean ownSeed;
     private final VersionState state = new VersionState();
-    private final List<Consumer<Version>> listeners = new CopyOnWriteArrayList<>();
+    private final Listeners<Version> listeners = new Listeners<>();
     private volatile @Nullable VersionEngine engine;
 
     private VersionDistribution(Builder builder) {
@@ -69,7 +69,7 @@
         SeedDesk desk = new SeedDesk(context, names, ownSeed);
         VersionEngine started =
                 new VersionEngine(
-                        context, names, desk, state, source, platformExecutor, this::announce);
+                        context, names, desk, state, source, platformExecutor, listeners::call);
         engine = started;
         started.start();
     }
@@ -104,12 +104,6 @@
         return context.mailbox().failures();
     }
 
-    private void announce(Version version) {
-        for (Consumer<Version> listener : listeners) {
-            listener.accept(version);
-        }
-    }
-
     private void registerMessages() {
         handle(RecordRequest.CODEC, VersionEngine::onRecord);
         handle(RecordAck.CODEC, VersionEngine::onAck);
@@ -121,7 +115,7 @@
         handle(VersionDigest.CODEC, VersionEngine::onDigest);
     }
 
-    private <M extends Message> void handle(Wire.Codec<M> codec, Handler<M> handler) {
+    private <M extends Message> void handle(MessageCodec<M> codec, Handler<M> handler) {
         context.handle(
                 codec,
                 (from, message) -> {
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
@@ -52,8 +52,13 @@
         Timings timings = context.timings();
         timers.add(context.every(timings.headPoll(), this::poll));
         timers.add(context.every(timings.digest(), spread::sendDigests));
-        context.mailbox().post(floors::start);
-        context.mailbox().post(this::poll);
+        context.mailbox().post(this::begin);
+    }
+
+    private void begin() {
+        Timings timings = context.timings();
+        floors.start();
+        poll();
         context.after(context.jitter(timings.startJitter()), this::pullUntilServed);
         Duration bodyAfter = timings.bodyAfter();
         context.after(bodyAfter.plus(context.jitter(bodyAfter)), this::readUntilServed);
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionPull.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionPull.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 
 /**
  * Asks a peer for the version that it holds.
@@ -9,7 +10,7 @@
  * @param heldHash its hash, empty for none
  */
 record VersionPull(long heldNumber, String heldHash) implements Message {
-    static final Wire.Codec<VersionPull> CODEC =
+    static final MessageCodec<VersionPull> CODEC =
             Wire.repairable(
                     45,
                     VersionPull.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionPush.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionPush.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.transport.Message;
+import dev.zinniaring.transport.MessageCodec;
 import java.util.SortedSet;
 
 /**
@@ -22,7 +23,7 @@
         byte[] delta,
         SortedSet<String> zones)
         implements Message {
-    static final Wire.Codec<VersionPush> CODEC =
+    static final MessageCodec<VersionPush> CODEC =
             Wire.repairable(
                     44,
                     VersionPush.class,
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionState.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionState.java
@@ -7,12 +7,16 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The recorded version that a node holds and the one that it has in force. Both only move to higher
  * numbers. Safe for use by several threads; reading is one atomic read.
  */
 final class VersionState {
+    private static final Logger log = LoggerFactory.getLogger(VersionState.class);
+
     private final AtomicReference<Snapshot> snapshot =
             new AtomicReference<>(new Snapshot(null, null, OptionalLong.empty(), null));
     private final LongAdder conflicts = new LongAdder();
@@ -64,7 +68,7 @@
     Outcome offer(HeldVersion offered) {
         Snapshot before = snapshot.getAndUpdate(now -> withHeld(now, offered));
         if (clashes(before, offered.number(), offered.hash())) {
-            conflicts.increment();
+            conflict(offered.number(), offered.hash());
             return Outcome.CONFLICT;
         }
         if (offered.number() <= before.heldNumber()) {
@@ -99,7 +103,7 @@
     boolean wants(long number, String hash) {
         Snapshot now = now();
         if (clashes(now, number, hash)) {
-            conflicts.increment();
+            conflict(number, hash);
             return false;
         }
         Refused refused = now.refused;
@@ -112,6 +116,14 @@
         return conflicts.sum();
     }
 
+    /** Logs the first clash only, since a peer may repeat it with each digest. */
+    private void conflict(long number, String hash) {
+        if (conflicts.sum() == 0) {
+            log.error("version {} came with a second hash {}, which is refused", number, hash);
+        }
+        conflicts.increment();
+    }
+
     private void update(UnaryOperator<Snapshot> change) {
         snapshot.updateAndGet(change);
     }
--- a/distribution/src/main/java/dev/zinniaring/distribution/Wire.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Wire.java
@@ -22,39 +22,14 @@
 
     private Wire() {}
 
-    /** A codec made of two functions. */
-    record Codec<M extends Message>(
+    /** Returns a codec for messages that a later one repeats or repairs. */
+    static <M extends Message> MessageCodec<M> repairable(
             int type,
             Class<M> messageClass,
-            Wire.Writer<M> writer,
-            Wire.Reader<M> reader,
-            Overflow overflow)
-            implements MessageCodec<M> {
-        @Override
-        public void write(M message, MessagePacker out) throws IOException {
-            writer.write(message, out);
-        }
-
-        @Override
-        public M read(MessageUnpacker in) throws IOException {
-            return reader.read(in);
-        }
-    }
-
-    /** Writes the fields of a message. */
-    interface Writer<M> {
-        void write(M message, MessagePacker out) throws IOException;
-    }
-
-    /** Reads the fields of a message. */
-    interface Reader<M> {
-        M read(MessageUnpacker in) throws IOException;
-    }
-
-    /** Returns a codec for messages that a later one repeats or repairs. */
-    static <M extends Message> Codec<M> repairable(
-            int type, Class<M> messageClass, Writer<M> writer, Reader<M> reader) {
-        return new Codec<>(type, messageClass, writer, reader, MessageCodec.Overflow.DROP_OLDEST);
+            MessageCodec.Writer<M> writer,
+            MessageCodec.Reader<M> reader) {
+        return MessageCodec.of(
+                type, messageClass, MessageCodec.Overflow.DROP_OLDEST, writer, reader);
     }
 
     static String text(MessageUnpacker in, int maxBytes) throws IOException {
--- a/distribution/src/test/java/dev/zinniaring/distribution/SimMesh.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimMesh.java
@@ -38,7 +38,9 @@
     final List<Peer> peers = new ArrayList<>();
     final Map<String, SimNode> nodes = new TreeMap<>();
     final Set<Set<String>> cutPairs = new HashSet<>();
-    final Map<String, Integer> crossZoneBytes = new TreeMap<>();
+    final Map<String, Integer> crossings = new TreeMap<>();
+    long bytes;
+    long crossZoneBytes;
 
     /** Whether the next node that puts a version in force dies before it has told anyone. */
     boolean crashNextActivation;
@@ -146,11 +148,12 @@
     }
 
     void transmit(SimNode from, InetSocketAddress to, int type, byte[] bytes) {
+        this.bytes += bytes.length;
         Peer target =
                 peers.stream().filter(p -> p.controlAddress().equals(to)).findFirst().orElseThrow();
         if (!from.peer.zone().equals(target.zone())) {
-            crossZoneBytes.merge(
-                    from.peer.zone() + ">" + target.zone(), bytes.length, Integer::sum);
+            crossZoneBytes += bytes.length;
+            crossings.merge(type + " " + from.peer.zone() + ">" + target.zone(), 1, Integer::sum);
         }
         if (!from.muted && random.nextDouble() >= loss) {
             deliverLater(from, target, type, bytes);
--- a/distribution/src/test/java/dev/zinniaring/distribution/VersionDistributionTest.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/VersionDistributionTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.zinniaring.model.EndpointState;
 import dev.zinniaring.model.Version;
+import dev.zinniaring.transport.Peer;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class VersionDistributionTest {
@@ -22,11 +25,78 @@
     @Test
     void everyNodeOfThreeZonesFollowsWithinTwoSecondsByDeltas() {
         SimMesh mesh = started(3, 5);
-        mesh.crossZoneBytes.clear();
+        mesh.crossings.clear();
+        long before = mesh.crossZoneBytes;
         mesh.platform.publish(SimTables.of(500, 2));
         mesh.advance(Duration.ofSeconds(2));
         assertAllInForce(mesh, 2);
-        assertThat(mesh.crossZoneBytes.values().stream().mapToInt(i -> i).sum()).isLessThan(10_000);
+        assertThat(mesh.crossZoneBytes - before).isLessThan(10_000);
+        int type = VersionPush.CODEC.type();
+        int pushes = mesh.crossings.getOrDefault(type + " zone0>zone1", 0);
+        pushes += mesh.crossings.getOrDefault(type + " zone1>zone0", 0);
+        assertThat(pushes).as("pushes between a pair of zones").isEqualTo(1);
+    }
+
+    // Guards against restarts that need the platform, or load it, while seeds are up.
+    @Test
+    void restartedNodesServeAgainFromSeedsAndPeersWhileThePlatformIsDown() {
+        SimMesh mesh = started(3, 5);
+        mesh.platform.cutZones.addAll(List.of("zone0", "zone1", "zone2"));
+        List<String> restarted =
+                mesh.peers.stream()
+                        .filter(peer -> !mesh.seeds.contains(peer.controlAddress()))
+                        .map(Peer::nodeId)
+                        .toList();
+        restarted.forEach(mesh::crash);
+        mesh.advance(Duration.ofSeconds(1));
+        restarted.forEach(mesh::start);
+        long before = mesh.platform.reads;
+        mesh.advance(Duration.ofSeconds(4));
+        assertAllInForce(mesh, 1);
+        assertThat(mesh.platform.reads - before).as("polls of three readers").isLessThan(30);
+    }
+
+    // Guards against a mesh in which links to the seeds of other zones are cut for long.
+    @Test
+    void readersPutAMajorityTogetherOnThePlatformWhenZonesAreCutFromEachOther() {
+        SimMesh mesh = started(3, 3);
+        mesh.cut("zone0", "zone1");
+        mesh.cut("zone0", "zone2");
+        mesh.cut("zone1", "zone2");
+        mesh.platform.publish(SimTables.of(500, 2));
+        mesh.advance(Duration.ofSeconds(30));
+        assertAllInForce(mesh, 2);
+    }
+
+    @Test
+    void versionWaitsWhileNoMajorityOfSeedsCanBeReached() {
+        SimMesh mesh = started(3, 3);
+        mesh.cut("zone0", "zone1");
+        mesh.cut("zone0", "zone2");
+        mesh.platform.cutZones.addAll(List.of("zone1", "zone2"));
+        mesh.platform.publish(SimTables.of(500, 2));
+        mesh.advance(Duration.ofSeconds(30));
+        assertAllInForce(mesh, 1);
+        assertThat(mesh.nodes.values().stream().mapToLong(n -> n.versions.state().recording()))
+                .contains(2L);
+        mesh.heal();
+        mesh.advance(Duration.ofSeconds(5));
+        assertAllInForce(mesh, 2);
+    }
+
+    // Guards against control traffic that grows with the fleet while nothing changes.
+    @Test
+    void idleTrafficOfANodeDoesNotGrowWithTheFleet() {
+        assertThat(idleBytesPerNode(16)).isLessThan(idleBytesPerNode(8) * 1.05);
+    }
+
+    private static double idleBytesPerNode(int nodesPerZone) {
+        SimMesh mesh = started(2, nodesPerZone);
+        mesh.nodes.keySet().forEach(id -> mesh.announce(id, "s-" + id, EndpointState.READY));
+        mesh.advance(Duration.ofSeconds(10));
+        long before = mesh.bytes;
+        mesh.advance(Duration.ofSeconds(20));
+        return (double) (mesh.bytes - before) / mesh.nodes.size();
     }
 
     static SimMesh started(int zones, int nodesPerZone) {
