Begin half of the event sequences with bad links

Cause: Lost acknowledgements together with a restart were rare in the sequences. Change: Half of the sequences start with loss, duplication and delay, and nodes that die at an activation are more frequent.

--- a/distribution/src/test/java/dev/zinniaring/distribution/EventSequence.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/EventSequence.java
@@ -44,6 +44,9 @@
 
     private void runEvents() {
         publish();
+        if (random.nextBoolean()) {
+            changeConditions();
+        }
         mesh.startAll();
         mesh.scheduler.every(Duration.ofSeconds(1), this::announceAll);
         for (int i = 0; i < EVENTS; i++) {
@@ -53,7 +56,7 @@
     }
 
     private void event() {
-        int kind = random.nextInt(24);
+        int kind = random.nextInt(28);
         if (kind < 5) {
             publish();
         } else if (kind < 7) {
@@ -73,13 +76,10 @@
             mesh.cutPairs.clear();
             mesh.platform.cutZones.clear();
         } else if (kind < 18) {
-            mesh.loss = random.nextDouble() * 0.4;
-            mesh.duplicates = random.nextDouble() * 0.3;
-            mesh.maxDelayMillis = 1 + random.nextInt(400);
-            log.add("conditions");
+            changeConditions();
         } else if (kind < 20) {
             changeServer();
-        } else if (kind < 22) {
+        } else if (kind < 25) {
             log.add("crash at next activation");
             mesh.crashNextActivation = true;
         } else {
@@ -88,6 +88,13 @@
         }
     }
 
+    private void changeConditions() {
+        mesh.loss = random.nextDouble() * 0.4;
+        mesh.duplicates = random.nextDouble() * 0.3;
+        mesh.maxDelayMillis = 1 + random.nextInt(400);
+        log.add("conditions");
+    }
+
     /** Restarts the seeds in turn, the shortest way to lose a mark. */
     private void rollSeeds() {
         int delayMillis = 0;
