--- a/node/src/main/java/dev/zinniaring/node/NodeMain.java
+++ b/node/src/main/java/dev/zinniaring/node/NodeMain.java
@@ -26,8 +26,7 @@
 
     @Option(
             name = "--dev",
-            usage =
-                    "run a platform in memory, a node and two sample backend servers in one process",
+            usage = "run a platform in memory, a node and two backend servers in one process",
             forbids = {"--settings", "--check-settings"})
     private boolean dev;
 
