Measure the time that two nodes add to a call

Cause: the promise of 1.7 ms at p99 was not measured. Change: CallMesh runs whole nodes with fake backend servers in one JVM; added-latency compares two nodes, one node and the straight call at once. Conclusion: to be measured on an idle machine.

--- /dev/null
+++ b/bench/src/main/java/dev/zinniaring/bench/CallMesh.java
@@ -0,0 +1,160 @@
+package dev.zinniaring.bench;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.model.Tables;
+import dev.zinniaring.node.AdmissionFactory;
+import dev.zinniaring.node.Node;
+import dev.zinniaring.node.NodeBuilder;
+import dev.zinniaring.node.NodeSettings;
+import dev.zinniaring.platform.MemoryPlatform;
+import dev.zinniaring.publish.PublishException;
+import dev.zinniaring.publish.Publisher;
+import dev.zinniaring.standins.BackendServer;
+import dev.zinniaring.standins.BackendServerBuilder;
+import dev.zinniaring.transport.LinkConditions;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Whole nodes with their call path on loopback in one JVM, fake backend servers beside them and a
+ * platform in memory. The first node is the seed of the mesh.
+ *
+ * <pre>{@code
+ * try (CallMesh mesh = CallMesh.seeded(seed)) {
+ *     Node entry = mesh.addNode("entry", "pt-a");
+ *     Node owner = mesh.addNode("owner", "pt-a");
+ *     mesh.addServer(owner, "shelf-1", "shelf", server -> server.slots(6));
+ *     mesh.publish(tables);
+ *     mesh.awaitReady(1);
+ * }
+ * }</pre>
+ */
+final class CallMesh implements AutoCloseable {
+    static final Duration READY_LIMIT = Duration.ofSeconds(20);
+    private static final String MESH = "bench";
+
+    private final MemoryPlatform platform = new MemoryPlatform(Clock.system());
+    private final LinkConditions conditions = new LinkConditions();
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<BackendServer> servers = new ArrayList<>();
+    private final List<InetSocketAddress> seeds = new ArrayList<>();
+    private final long seed;
+    private @Nullable AdmissionFactory admissions;
+
+    private CallMesh(long seed) {
+        this.seed = seed;
+    }
+
+    /** Returns a mesh without nodes. */
+    static CallMesh seeded(long seed) {
+        return new CallMesh(seed);
+    }
+
+    /** Sets how nodes that are added from now on admit calls. */
+    CallMesh admissions(AdmissionFactory factory) {
+        admissions = factory;
+        return this;
+    }
+
+    /** Starts a node in an availability zone. */
+    Node addNode(String nodeId, String zone) throws ExperimentException {
+        NodeSettings settings =
+                NodeSettings.builder().mesh(MESH).nodeId(nodeId).zone(zone).seeds(seeds).build();
+        NodeBuilder builder =
+                Node.builder(settings)
+                        .platform(platform.tables(), platform.objects())
+                        .conditions(conditions)
+                        .seed(seed + nodes.size());
+        if (admissions != null) {
+            builder.admissions(admissions);
+        }
+        try {
+            Node node = builder.build();
+            node.start();
+            nodes.add(node);
+            if (seeds.isEmpty()) {
+                seeds.add(node.controlAddress());
+            }
+            return node;
+        } catch (KernelException e) {
+            throw new ExperimentException("node " + nodeId + " did not start", e);
+        }
+    }
+
+    /** Starts a backend server beside a node. */
+    BackendServer addServer(
+            Node node,
+            String serverId,
+            String service,
+            UnaryOperator<BackendServerBuilder> options) {
+        BackendServer server =
+                options.apply(BackendServer.builder(serverId, service))
+                        .announceTo(reachable(node.announceAddress()))
+                        .build();
+        server.start();
+        servers.add(server);
+        return server;
+    }
+
+    /** Publishes tables and returns the version's number. */
+    long publish(Tables tables) throws ExperimentException {
+        try {
+            return Publisher.builder(MESH, platform.tables(), platform.objects())
+                    .author("bench")
+                    .build()
+                    .publish(tables)
+                    .number();
+        } catch (PublishException e) {
+            throw new ExperimentException("the tables were not accepted", e);
+        }
+    }
+
+    /** Waits until every node has a version in force and knows every backend server. */
+    void awaitReady(long number) throws ExperimentException {
+        Await.until(
+                () -> nodes.stream().allMatch(node -> ready(node, number)),
+                READY_LIMIT,
+                () -> "version " + number + " and " + servers.size() + " servers on every node");
+    }
+
+    private boolean ready(Node node, long number) {
+        return node.versions().inForce().map(version -> version.number() >= number).orElse(false)
+                && node.endpoints().view().all().size() >= servers.size();
+    }
+
+    MemoryPlatform platform() {
+        return platform;
+    }
+
+    LinkConditions conditions() {
+        return conditions;
+    }
+
+    List<Node> nodes() {
+        return nodes;
+    }
+
+    List<BackendServer> servers() {
+        return servers;
+    }
+
+    /** Returns an address with a loopback IP number in place of the wildcard. */
+    static InetSocketAddress reachable(InetSocketAddress address) {
+        if (address.getAddress().isAnyLocalAddress()) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), address.getPort());
+        }
+        return address;
+    }
+
+    @Override
+    public void close() {
+        nodes.forEach(Node::close);
+        servers.forEach(BackendServer::close);
+    }
+}
--- a/bench/src/main/java/dev/zinniaring/bench/Experiments.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -7,6 +7,7 @@
 final class Experiments {
     static final List<Experiment> ALL =
             List.of(
+                    new AddedLatencyExperiment(),
                     new ConvergenceExperiment(),
                     new RestartStormExperiment(),
                     new ScaleSlopesExperiment());
