Count every member that a node names when waiting

Change: members count by their ids, in whichever form a node names them; a member that cannot be asked does not follow. status counts in the same way, so that its test expects 3 of 3 where the settings name a VM that is gone. Conclusion: the node should serve the admin addresses of its members, else operators must list all nodes in the settings.

--- a/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
@@ -55,10 +55,10 @@
         if (!wait) {
             return;
         }
-        FollowWait.Progress progress =
+        Followers followers =
                 parts.get()
                         .followWait()
                         .await(number, Duration.ofSeconds(Math.max(0, waitSeconds)), console);
-        json.put("nodes", progress.total()).put("following", progress.following());
+        json.put("nodes", followers.total()).put("following", followers.following().size());
     }
 }
--- a/ctl/src/main/java/dev/zinniaring/ctl/NodeStatus.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/NodeStatus.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * What one node says of itself. Fields that its answer lacks have the defaults below.
@@ -14,9 +16,10 @@
  * @param zone its availability zone, empty if unknown
  * @param version the version in force there, 0 if none
  * @param ready whether it takes calls
- * @param waitingFor the version that it waits for, 0 if none
+ * @param waitingFor what it lacks until it can serve, empty if nothing
  * @param refusedVersion the version that it refused, 0 if none
- * @param members the members that it knows, 0 if unknown
+ * @param members number of members that it knows, 0 if unknown
+ * @param memberIds ids of the members that it knows, as far as it names them
  * @param adminAddresses admin addresses of the members that it knows, by node id
  */
 record NodeStatus(
@@ -26,20 +29,25 @@
         String zone,
         long version,
         boolean ready,
-        long waitingFor,
+        String waitingFor,
         long refusedVersion,
         int members,
+        Set<String> memberIds,
         Map<String, String> adminAddresses) {
 
     static NodeStatus unreachable(String address, String error) {
-        return new NodeStatus(address, error, address, "", 0, false, 0, 0, 0, Map.of());
+        return new NodeStatus(address, error, address, "", 0, false, "", 0, 0, Set.of(), Map.of());
     }
 
+    /** Reads an answer; {@code members} may be a number, or ids, also grouped by zone. */
     static NodeStatus of(String address, JsonNode answer) {
-        Map<String, String> others = new TreeMap<>();
+        Map<String, String> addresses = new TreeMap<>();
         answer.path("adminAddresses")
                 .fields()
-                .forEachRemaining(entry -> others.put(entry.getKey(), entry.getValue().asText()));
+                .forEachRemaining(
+                        entry -> addresses.put(entry.getKey(), entry.getValue().asText()));
+        Set<String> ids = new TreeSet<>(addresses.keySet());
+        collectTexts(answer.path("members"), ids);
         return new NodeStatus(
                 address,
                 "",
@@ -47,10 +55,22 @@
                 answer.path("zone").asText(""),
                 answer.path("version").asLong(0),
                 answer.path("ready").asBoolean(false),
-                answer.path("waitingFor").asLong(0),
+                waitingFor(answer.path("waitingFor")),
                 answer.path("refusedVersion").asLong(0),
-                answer.path("members").asInt(0),
-                others);
+                Math.max(ids.size(), answer.path("members").asInt(0)),
+                ids,
+                addresses);
+    }
+
+    private static void collectTexts(JsonNode value, Set<String> texts) {
+        if (value.isTextual()) {
+            texts.add(value.textValue());
+        }
+        value.forEach(child -> collectTexts(child, texts));
+    }
+
+    private static String waitingFor(JsonNode value) {
+        return value.isNumber() ? "version " + value.asLong() : value.asText("");
     }
 
     boolean reachable() {
@@ -63,7 +83,7 @@
             return json.put("error", error);
         }
         json.put("zone", zone).put("version", version).put("ready", ready).put("members", members);
-        json.put("waitingFor", waitingFor == 0 ? null : waitingFor);
+        json.put("waitingFor", waitingFor.isEmpty() ? null : waitingFor);
         return json.put("refusedVersion", refusedVersion == 0 ? null : refusedVersion);
     }
 
@@ -78,7 +98,7 @@
                 + "  version "
                 + version
                 + (ready ? "  ready" : "  not ready")
-                + (waitingFor == 0 ? "" : "  waits for version " + waitingFor)
+                + (waitingFor.isEmpty() ? "" : "  waits for " + waitingFor)
                 + (refusedVersion == 0 ? "" : "  refused version " + refusedVersion);
     }
 }
--- a/ctl/src/main/java/dev/zinniaring/ctl/StatusCommand.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/StatusCommand.java
@@ -23,12 +23,8 @@
         }
         try {
             long head = parts.get().publisher().source().head().number();
-            long following = statuses.stream().filter(s -> s.version() >= head).count();
             json.put("head", head);
-            lines.add(
-                    0,
-                    "latest version %d, followed by %d of %d nodes"
-                            .formatted(head, following, statuses.size()));
+            lines.add(0, "latest version " + head + ": " + Followers.of(head, statuses));
         } catch (PublishException e) {
             json.putNull("head");
             lines.add(0, "latest version unknown");
