Take in a process whose clock was set back, test long lists

Cause: A process that starts with an earlier clock than its predecessor was taken for an outdated life and kept out for the 10 minutes in which the dead are remembered.

Change: It takes a later life once it hears that the predecessor is gone.

Conclusion: Two processes that share an id still do not compete: the later one stays, the other is kept out.

--- a/membership/src/main/java/dev/zinniaring/membership/Core.java
+++ b/membership/src/main/java/dev/zinniaring/membership/Core.java
@@ -182,14 +182,7 @@
 
     private void mergeSelf(Member update) {
         if (update.life() > self.life()) {
-            laterLivesOfSelf++;
-            if (laterLivesOfSelf == 1) {
-                log.warn(
-                        "another process runs as {} with the later life {}; this one is {}",
-                        self.nodeId(),
-                        update.life(),
-                        self.life());
-            }
+            mergeLaterLife(update);
             return;
         }
         boolean doubted = update.state() != MemberState.ALIVE;
@@ -201,6 +194,25 @@
         }
     }
 
+    /**
+     * Handles news of a process with this node's id that started later by its clock. If that one is
+     * gone, this VM's clock has stepped back since, and this process takes an even later life to be
+     * accepted. If it is alive, two processes share an id, and this one stays out.
+     */
+    private void mergeLaterLife(Member update) {
+        laterLivesOfSelf++;
+        if (laterLivesOfSelf == 1) {
+            log.warn(
+                    "a process ran as {} with the later life {}; this one has {}",
+                    self.nodeId(),
+                    update.life(),
+                    self.life());
+        }
+        if (!update.live() && !isLeaving()) {
+            replaceSelf(new Member(self.peer(), update.life() + 1, MemberState.ALIVE));
+        }
+    }
+
     private void replaceSelf(Member newSelf) {
         self = newSelf;
         table.merge(self, now());
--- a/membership/src/main/java/dev/zinniaring/membership/MembershipState.java
+++ b/membership/src/main/java/dev/zinniaring/membership/MembershipState.java
@@ -7,7 +7,7 @@
  * The membership's part of the state dump.
  *
  * @param nodeId this node
- * @param life first incarnation of this process
+ * @param life first incarnation of this process, or a later one if its clock had stepped back
  * @param incarnation present incarnation of this process
  * @param state what this node tells of itself
  * @param joined whether a seed has told of all members
--- a/membership/src/test/java/dev/zinniaring/membership/GossipSimulationTest.java
+++ b/membership/src/test/java/dev/zinniaring/membership/GossipSimulationTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.zinniaring.transport.Peer;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -130,6 +132,53 @@
         assertThat(rejoined.incarnation()).isGreaterThan(paused.incarnation());
     }
 
+    /** Guards against a process that is kept out because its VM's clock was set back. */
+    @Test
+    void aProcessWhoseClockSteppedBackIsTakenIn() {
+        SimMesh mesh = new SimMesh(8);
+        mesh.start(2, 4);
+        mesh.run(Duration.ofSeconds(10));
+        long earlier = mesh.nodes.get("n6").incarnation();
+        mesh.crash("n6", false);
+        mesh.lives.add(earlier + 1);
+        SimNode again = mesh.start("n6", "z0", earlier - 60_000);
+        mesh.run(Duration.ofSeconds(30));
+        assertThat(mesh.running())
+                .allSatisfy(
+                        n -> {
+                            Member seen = n.membership.view().member("n6").orElseThrow();
+                            assertThat(seen.state()).isEqualTo(MemberState.ALIVE);
+                            assertThat(seen.life()).isEqualTo(earlier + 1);
+                        });
+        assertThat(again.membership.state().laterLivesOfSelf()).isPositive();
+    }
+
+    /** Guards against a join whose list of members takes more than one message. */
+    @Test
+    void aLongListOfMembersIsJoinedInParts() {
+        SimMesh mesh = new SimMesh(9);
+        mesh.start(1, 2);
+        mesh.run(Duration.ofSeconds(5));
+        List<Member> many = new ArrayList<>();
+        for (int i = 100; i < 2_600; i++) {
+            Peer peer = new Peer("n" + i, "far", new InetSocketAddress("127.0.0.1", 10_000 + i));
+            many.add(new Member(peer, 1, MemberState.ALIVE));
+            mesh.lives.add(1L);
+        }
+        Peer gateway = many.get(0).peer();
+        for (int from = 0; from < many.size(); from += 500) {
+            mesh.nodes
+                    .get("n0")
+                    .receive(
+                            gateway,
+                            new Messages.MemberEntries("far", 0, many.subList(from, from + 500)));
+        }
+        mesh.start("n2", "z0");
+        mesh.run(Duration.ofSeconds(5));
+        assertThat(mesh.nodes.get("n2").membership.view().liveIn("far")).hasSize(2_500);
+        assertThat(mesh.nodes.get("n1").membership.view().liveIn("far")).hasSize(2_500);
+    }
+
     /** Guards against traffic that grows with the number of nodes while nothing changes. */
     @Test
     void messagesPerNodeDoNotGrowWithTheNumberOfNodes() {
--- a/membership/src/test/java/dev/zinniaring/membership/SimMesh.java
+++ b/membership/src/test/java/dev/zinniaring/membership/SimMesh.java
@@ -54,8 +54,12 @@
     /** Starts a life of a node, in place of an earlier one. */
     SimNode start(String nodeId, String zone) {
         run(Duration.ofMillis(1 + random.nextInt(300)));
+        return start(nodeId, zone, clock.now().toEpochMilli());
+    }
+
+    /** Starts a life of a node whose clock shows another time. */
+    SimNode start(String nodeId, String zone, long life) {
         Peer self = new Peer(nodeId, zone, address(nodeId));
-        long life = clock.now().toEpochMilli();
         lives.add(life);
         SimNode node = new SimNode(this, self, life, random.split());
         nodes.put(nodeId, node);
