--- a/transport/src/main/java/dev/zinniaring/transport/Link.java
+++ b/transport/src/main/java/dev/zinniaring/transport/Link.java
@@ -22,6 +22,7 @@
     private final @Nullable InetSocketAddress target;
     private final FrameDecoder decoder;
     private final LinkWriter writer;
+    private final LinkSilence silence;
     private Phase phase;
     private @Nullable Peer expected;
     private @Nullable SocketChannel channel;
@@ -54,6 +55,11 @@
         this.writer = new LinkWriter(context, this::flush);
         this.phase = Phase.WAITING;
         this.startedNanos = now();
+        this.silence =
+                new LinkSilence(
+                        context.limits().silenceTimeout(),
+                        context.limits().handshakeTimeout(),
+                        startedNanos);
     }
 
     static Link to(
@@ -96,9 +102,8 @@
     }
 
     void send(OutFrame frame) {
-        if (!writer.offer(frame)) {
-            close(TransportFault.QUEUE_FULL);
-        } else if (phase == Phase.OPEN) {
+        offer(frame);
+        if (phase == Phase.OPEN) {
             lastUseNanos = now();
             flush();
         }
@@ -127,10 +132,26 @@
         } else if (writer.isEmpty() && passed(lastUseNanos, idle, now)) {
             close(null);
         } else {
+            checkSilence(now);
             flush();
         }
     }
 
+    private void checkSilence(long now) {
+        LinkSilence.Verdict verdict = silence.at(now);
+        if (verdict == LinkSilence.Verdict.ASK) {
+            offer(OutFrame.of(LinkCheck.CODEC, new LinkCheck(false)));
+        } else if (verdict == LinkSilence.Verdict.GONE) {
+            close(TransportFault.PEER_SILENT);
+        }
+    }
+
+    private void offer(OutFrame frame) {
+        if (!writer.offer(frame)) {
+            close(TransportFault.QUEUE_FULL);
+        }
+    }
+
     /** Closes the link; does nothing if called again. */
     void close(@Nullable TransportFault fault) {
         if (phase == Phase.CLOSED) {
@@ -257,6 +278,11 @@
             }
             return;
         }
+        silence.received(now());
+        if (decoded.isPresent() && decoded.get().message() instanceof LinkCheck check) {
+            onCheck(check, frame.length);
+            return;
+        }
         lastUseNanos = now();
         if (decoded.isEmpty() || peer == null) {
             context.counters().fault(TransportFault.UNKNOWN_TYPE);
@@ -267,6 +293,17 @@
         context.deliver(entry, peer, decoded.get().message());
     }
 
+    /** Answers a check. Checks are no use of the link, so that it may still close when idle. */
+    private void onCheck(LinkCheck check, int bytes) {
+        if (peer != null) {
+            countReceived("LinkCheck", peer, bytes);
+        }
+        if (!check.answer()) {
+            offer(OutFrame.of(LinkCheck.CODEC, new LinkCheck(true)));
+            flush();
+        }
+    }
+
     private void greeted(Hello hello, int bytes) {
         Optional<TransportFault> refused = refusal(hello);
         if (refused.isPresent()) {
@@ -278,6 +315,7 @@
         incarnation = hello.incarnation();
         countReceived("Hello", hello.peer(), bytes);
         phase = Phase.OPEN;
+        silence.received(now());
         lastUseNanos = now();
         decoder.allow(context.limits().maxFrameBytes());
         table.opened(this, hello);
--- a/transport/src/main/java/dev/zinniaring/transport/TcpNetwork.java
+++ b/transport/src/main/java/dev/zinniaring/transport/TcpNetwork.java
@@ -51,6 +51,7 @@
         this.settings = settings;
         this.handover = new ByteBudget(settings.limits().queueBytes());
         types.add(Hello.CODEC, (from, hello) -> {});
+        types.add(LinkCheck.CODEC, (from, check) -> {});
     }
 
     /** Returns a builder. */
--- a/transport/src/main/java/dev/zinniaring/transport/TransportFault.java
+++ b/transport/src/main/java/dev/zinniaring/transport/TransportFault.java
@@ -22,6 +22,8 @@
     PARTIAL_FRAME_TIMEOUT,
     /** The peer did not take what was sent. */
     WRITE_STALL,
+    /** Nothing came from the peer, not even the answer to a check. */
+    PEER_SILENT,
     /** The send queue was full and a link was closed. */
     QUEUE_FULL,
     /** Frames were dropped for newer ones. */
--- a/transport/src/main/java/dev/zinniaring/transport/TransportLimits.java
+++ b/transport/src/main/java/dev/zinniaring/transport/TransportLimits.java
@@ -14,6 +14,7 @@
  * @param handshakeTimeout from the start of a connect to the peer's greeting
  * @param partialFrameTimeout from the first byte of a frame to its last
  * @param writeStallTimeout without progress while frames wait
+ * @param silenceTimeout without a frame from the peer until it is asked whether it is there
  * @param idleTimeout without use until the opener of a link closes it
  * @param backOffFirst bound of the first delay after a failed connect
  * @param backOffMax largest bound of the delay after a failed connect
@@ -28,6 +29,7 @@
         Duration handshakeTimeout,
         Duration partialFrameTimeout,
         Duration writeStallTimeout,
+        Duration silenceTimeout,
         Duration idleTimeout,
         Duration backOffFirst,
         Duration backOffMax) {
@@ -46,6 +48,7 @@
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(10),
+                Duration.ofSeconds(10),
                 Duration.ofSeconds(30),
                 Duration.ofMillis(100),
                 Duration.ofSeconds(10));
@@ -63,11 +66,30 @@
                 handshake,
                 partialFrame,
                 writeStallTimeout,
+                silenceTimeout,
                 idle,
                 backOffFirst,
                 backOffMax);
     }
 
+    /** Returns these limits with another time until a silent peer is asked. */
+    public TransportLimits withSilenceTimeout(Duration silence) {
+        return new TransportLimits(
+                maxFrameBytes,
+                queueFrames,
+                queueBytes,
+                maxLinks,
+                acceptsPerSecond,
+                acceptBurst,
+                handshakeTimeout,
+                partialFrameTimeout,
+                writeStallTimeout,
+                silence,
+                idleTimeout,
+                backOffFirst,
+                backOffMax);
+    }
+
     /** Returns these limits with other bounds on accepting links. */
     public TransportLimits withAccepting(int links, double perSecond, double burst) {
         return new TransportLimits(
@@ -80,6 +102,7 @@
                 handshakeTimeout,
                 partialFrameTimeout,
                 writeStallTimeout,
+                silenceTimeout,
                 idleTimeout,
                 backOffFirst,
                 backOffMax);
--- a/transport/src/main/java/dev/zinniaring/transport/package-info.java
+++ b/transport/src/main/java/dev/zinniaring/transport/package-info.java
@@ -1,4 +1,7 @@
-/** Framed messages between nodes. */
+/**
+ * Framed messages between nodes. On the wire, type 0 and negative types belong to the transport,
+ * types 1 to 10 to membership.
+ */
 @NullMarked
 package dev.zinniaring.transport;
 
--- a/transport/src/test/java/dev/zinniaring/transport/LinkConditionsTest.java
+++ b/transport/src/test/java/dev/zinniaring/transport/LinkConditionsTest.java
@@ -88,18 +88,26 @@
     }
 
     @Test
-    void noLinkOpensAcrossACut() throws Exception {
+    void noLinkOpensTowardsACut() throws Exception {
+        networks.conditions.cut("z2", "z1");
+        b.network().send(a.peer(), Note.of(1));
+        assertThat(timesOut(b)).isTrue();
+        assertThat(a.inbox()).isEmpty();
+        assertThat(a.network().state().links()).isEmpty();
+    }
+
+    /** Guards against a link that opens although no answer can come back. */
+    @Test
+    void noLinkOpensIfTheWayBackIsCut() throws Exception {
         networks.conditions.cut("z2", "z1");
         a.network().send(b.peer(), Note.of(1));
         a.network().send(b.peer().controlAddress(), Note.of(2));
-        b.network().send(a.peer(), Note.of(3));
-        assertThat(
-                        TestNetworks.eventually(
-                                () ->
-                                        a.faults(TransportFault.HANDSHAKE_TIMEOUT) > 0
-                                                && b.faults(TransportFault.HANDSHAKE_TIMEOUT) > 0))
-                .isTrue();
-        assertThat(a.inbox()).isEmpty();
+        assertThat(timesOut(a)).isTrue();
+        assertThat(b.inbox()).isEmpty();
+    }
+
+    private static boolean timesOut(Node node) throws InterruptedException {
+        return TestNetworks.eventually(() -> node.faults(TransportFault.HANDSHAKE_TIMEOUT) > 0);
     }
 
     @Test
--- a/transport/src/test/java/dev/zinniaring/transport/LinkFaultsTest.java
+++ b/transport/src/test/java/dev/zinniaring/transport/LinkFaultsTest.java
@@ -23,7 +23,8 @@
     private static final TransportLimits LIMITS =
             TransportLimits.defaults()
                     .withTimeouts(
-                            Duration.ofMillis(400), Duration.ofMillis(400), Duration.ofSeconds(30));
+                            Duration.ofMillis(400), Duration.ofMillis(400), Duration.ofSeconds(30))
+                    .withSilenceTimeout(Duration.ofMillis(800));
 
     private TestNetworks networks;
     private Node server;
@@ -144,6 +145,33 @@
         assertThat(server.faults(TransportFault.MALFORMED_DATAGRAM)).isPositive();
     }
 
+    /** Guards against a link to a VM that vanished without closing it. */
+    @Test
+    void aPeerThatDoesNotAnswerACheckLosesItsLink() throws Exception {
+        try (RawPeer peer = new RawPeer(server.peer().controlAddress())) {
+            peer.greet("x");
+            assertThat(peer.isClosedByPeer()).isTrue();
+        }
+        assertThat(server.faults(TransportFault.PEER_SILENT)).isEqualTo(1);
+    }
+
+    /** Guards against closing quiet links whose peers are there. */
+    @Test
+    void aQuietPeerThatAnswersChecksKeepsItsLink() throws Exception {
+        Node quiet = networks.start("quiet", "z1", 1);
+        quiet.network().send(server.peer(), Note.of(1));
+        assertThat(server.receive()).isEqualTo(1);
+        assertThat(TestNetworks.eventually(() -> checks(quiet) >= 3)).isTrue();
+        assertThat(server.faults(TransportFault.PEER_SILENT)).isZero();
+        assertThat(server.network().state().links()).hasSize(1);
+    }
+
+    private static long checks(Node node) {
+        var flow = new TrafficCounters.Flow("LinkCheck", TrafficCounters.Direction.RECEIVED, false);
+        var total = node.network().counters().snapshot().flows().get(flow);
+        return total == null ? 0 : total.messages();
+    }
+
     /** Guards against unbounded memory for a peer that reads nothing. */
     @Test
     void aPeerThatDoesNotReadLosesItsLinkWhenTheQueueIsFull() throws Exception {
