--- a/admission/src/main/java/dev/zinniaring/admission/Dispatch.java
+++ b/admission/src/main/java/dev/zinniaring/admission/Dispatch.java
@@ -42,7 +42,7 @@
         this.times = times;
         this.decisions = decisions;
         this.queue = new RankQueue(ranks, settings.maxQueued);
-        this.credit = new FloorCredit(ranks, times);
+        this.credit = new FloorCredit(ranks, times, settings.clock.nanos());
         this.sojourn =
                 new SojournBound(ranks.size(), settings.maxQueueNanos, settings.clock.nanos());
     }
@@ -56,7 +56,7 @@
     void run(long now, boolean sweep, boolean drain) {
         nowNanos = now;
         draining = drain;
-        credit.update(queue);
+        credit.update(queue, nowNanos);
         sojourn.update(queue, now);
         if (sweep) {
             queue.removeIf(call -> call.decided() || whyHopeless(call) != null, this::shedHopeless);
@@ -90,7 +90,8 @@
             decisions.grant(call);
             return;
         }
-        long serviceNanos = times.expectedNanos(call.rank, nowNanos);
+        credit.asked(call.rank, nowNanos);
+        long serviceNanos = times.likelyNanos(call.rank, nowNanos);
         long leftNanos = call.deadlineNanos - nowNanos;
         if (expectedWaitNanos(call.rank) + serviceNanos > leftNanos) {
             decisions.shed(call, ShedReason.DEADLINE, serviceNanos <= leftNanos);
@@ -124,7 +125,7 @@
             }
             queue.poll(rank);
             decisions.grant(call);
-            credit.update(queue);
+            credit.update(queue, nowNanos);
         }
     }
 
@@ -157,7 +158,7 @@
         if (draining) {
             return ShedReason.DRAINING;
         }
-        long serviceNanos = times.expectedNanos(call.rank, nowNanos);
+        long serviceNanos = times.likelyNanos(call.rank, nowNanos);
         if (call.deadlineNanos - nowNanos <= serviceNanos) {
             return ShedReason.DEADLINE;
         }
@@ -169,15 +170,18 @@
     }
 
     private long expectedWaitNanos(int rank) {
-        long aheadNanos = times.meanNanos(rank);
+        long nextSlotNanos = times.meanNanos(rank) / decisions.limit();
+        long aheadNanos = 0;
         for (int index = 0; index <= rank; index++) {
             aheadNanos += queue.size(index) * times.meanNanos(index);
         }
         long byUrgency = aheadNanos / decisions.limit();
-        if (ranks.floorShare(rank) <= 0) {
-            return byUrgency;
+        if (ranks.floorShare(rank) > 0) {
+            double callsToCome = Math.max(0, queue.size(rank) + 1 - credit.calls(rank));
+            long byFloor = (long) (callsToCome * floorIntervalNanos(rank));
+            return nextSlotNanos + Math.min(byUrgency, byFloor);
         }
-        return Math.min(byUrgency, (queue.size(rank) + 1) * floorIntervalNanos(rank));
+        return nextSlotNanos + byUrgency;
     }
 
     /** Returns the time between two calls of the rank when it gets no more than its floor. */
--- a/admission/src/main/java/dev/zinniaring/admission/ServiceTimes.java
+++ b/admission/src/main/java/dev/zinniaring/admission/ServiceTimes.java
@@ -11,12 +11,17 @@
     private static final int MAX_HALVINGS = 30;
     private static final int SMOOTHING = 8;
 
+    /** Mean absolute deviations above the mean that nearly all calls stay within. */
+    private static final int DEVIATIONS = 2;
+
     private final AtomicLongArray meanNanos;
+    private final AtomicLongArray deviationNanos;
     private final AtomicLongArray sampledAtNanos;
     private final LongAdder[] chargedNanos;
 
     ServiceTimes(int ranks) {
         this.meanNanos = new AtomicLongArray(ranks);
+        this.deviationNanos = new AtomicLongArray(ranks);
         this.sampledAtNanos = new AtomicLongArray(ranks);
         this.chargedNanos = new LongAdder[ranks];
         for (int rank = 0; rank < ranks; rank++) {
@@ -33,12 +38,20 @@
     void sample(int rank, long nanos, long nowNanos) {
         sampledAtNanos.set(rank, nowNanos);
         long before = meanNanos.get(rank);
+        if (before != 0) {
+            move(deviationNanos, rank, Math.abs(nanos - before));
+        }
+        move(meanNanos, rank, nanos);
+    }
+
+    private static void move(AtomicLongArray averages, int rank, long nanos) {
+        long before = averages.get(rank);
         while (true) {
             long after = before == 0 ? nanos : before + (nanos - before) / SMOOTHING;
-            if (meanNanos.compareAndSet(rank, before, after)) {
+            if (averages.compareAndSet(rank, before, after)) {
                 return;
             }
-            before = meanNanos.get(rank);
+            before = averages.get(rank);
         }
     }
 
@@ -48,14 +61,15 @@
     }
 
     /**
-     * Returns the expected time of a call, 0 if nothing is known. An estimate without new samples
-     * halves each second: otherwise one that is too high would shed the very calls that could
-     * correct it.
+     * Returns the time that nearly every call of the rank stays within, 0 if nothing is known. An
+     * estimate without new samples halves each second: otherwise one that is too high would shed
+     * the very calls that could correct it.
      */
-    long expectedNanos(int rank, long nowNanos) {
+    long likelyNanos(int rank, long nowNanos) {
         long idleNanos = Math.max(0, nowNanos - sampledAtNanos.get(rank));
         long halvings = Math.min(MAX_HALVINGS, idleNanos / HALF_LIFE_NANOS);
-        return meanNanos.get(rank) >> halvings;
+        long likelyNanos = meanNanos.get(rank) + DEVIATIONS * deviationNanos.get(rank);
+        return likelyNanos >> halvings;
     }
 
     /** Returns the mean time of a call of the rank, above 0 even if nothing is known. */
