Make the rule of the crash guard an interface with two baselines

Cause: the guard could not be compared with simpler rules. Change: HoldRule with evidence (as before), at two crashes, and never.

--- a/admission/src/main/java/dev/zinniaring/admission/CrashGuard.java
+++ b/admission/src/main/java/dev/zinniaring/admission/CrashGuard.java
@@ -28,9 +28,6 @@
  * apart from each other, so that the innocent ones complete and a third crash names the other.
  */
 public final class CrashGuard {
-    private static final int MIN_CRASHES = 2;
-    private static final int CERTAIN_CRASHES = 3;
-
     /** A server's crash is noticed at most this long after its connections broke. */
     private static final long BROKEN_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -61,6 +58,7 @@
 
     private final Clock clock;
     private final String nodeId;
+    private final HoldRule rule;
     private final long ttlNanos;
     private final int maxSuspects;
     private final InFlight inFlight = new InFlight(BROKEN_MEMORY_NANOS);
@@ -71,6 +69,7 @@
     private CrashGuard(Builder builder) {
         this.clock = builder.clock;
         this.nodeId = builder.nodeId;
+        this.rule = builder.rule;
         this.ttlNanos = builder.ttl.toNanos();
         this.maxSuspects = builder.maxSuspects;
         // Starts at the wall clock, so that crashes of an earlier life of the node differ.
@@ -92,11 +91,7 @@
         if (active.isEmpty()) {
             return Verdict.RUN;
         }
-        if (active.size() >= CERTAIN_CRASHES) {
-            return Verdict.HOLD;
-        }
-        boolean held = active.size() >= MIN_CRASHES && !sharedByOther(fingerprint, active);
-        return held ? Verdict.HOLD : Verdict.RUN_APART;
+        return rule.verdict(active.size(), () -> sharedByOther(fingerprint, active));
     }
 
     /** Notes that a call is sent to a backend server. */
@@ -265,6 +260,7 @@
     public static final class Builder {
         private Clock clock = Clock.system();
         private String nodeId = "node";
+        private HoldRule rule = HoldRule.withEvidence();
         private Duration ttl = Duration.ofMinutes(10);
         private int maxSuspects = 10_000;
 
@@ -282,6 +278,12 @@
             return this;
         }
 
+        /** Sets when a request is held; with evidence by default. */
+        public Builder rule(HoldRule value) {
+            this.rule = value;
+            return this;
+        }
+
         /** Sets how long a suspect is remembered after its last crash; 10 minutes by default. */
         public Builder ttl(Duration value) {
             this.ttl = value;
--- a/admission/src/test/java/dev/zinniaring/admission/CrashGuardScenario.java
+++ b/admission/src/test/java/dev/zinniaring/admission/CrashGuardScenario.java
@@ -29,16 +29,16 @@
     private int serversLost;
     private int innocentsHeld;
 
-    private CrashGuardScenario(long seed) {
+    private CrashGuardScenario(long seed, HoldRule rule) {
         this.random = new SplittableRandom(seed);
         ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
         for (int server = 0; server < SERVERS; server++) {
-            guards.add(CrashGuard.builder().clock(clock).nodeId("n" + server).build());
+            guards.add(CrashGuard.builder().clock(clock).nodeId("n" + server).rule(rule).build());
         }
     }
 
-    static Result run(long seed) {
-        CrashGuardScenario scenario = new CrashGuardScenario(seed);
+    static Result run(long seed, HoldRule rule) {
+        CrashGuardScenario scenario = new CrashGuardScenario(seed, rule);
         for (int step = 0; step < STEPS; step++) {
             scenario.step();
         }
--- a/admission/src/test/java/dev/zinniaring/admission/CrashGuardTest.java
+++ b/admission/src/test/java/dev/zinniaring/admission/CrashGuardTest.java
@@ -8,6 +8,7 @@
 import dev.zinniaring.kernel.ManualClock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -136,11 +137,32 @@
 
     @Property(tries = 300, seed = "21")
     void aPoisonCostsAtMostThreeServersAndNoInnocentIsHeld(@ForAll long seed) {
-        CrashGuardScenario.Result result = CrashGuardScenario.run(seed);
+        CrashGuardScenario.Result result = CrashGuardScenario.run(seed, HoldRule.withEvidence());
         assertThat(result.serversLost()).isLessThanOrEqualTo(3);
         assertThat(result.innocentsHeld()).isZero();
     }
 
+    @Test
+    void holdingAtTwoCrashesRefusesInnocentsAndHoldingNothingLosesServers() {
+        List<HoldRule> rules =
+                List.of(HoldRule.withEvidence(), HoldRule.atTwoCrashes(), HoldRule.never());
+        int[] lost = new int[rules.size()];
+        int[] held = new int[rules.size()];
+        for (long seed = 1; seed <= 300; seed++) {
+            for (int rule = 0; rule < rules.size(); rule++) {
+                CrashGuardScenario.Result result = CrashGuardScenario.run(seed, rules.get(rule));
+                lost[rule] += result.serversLost();
+                held[rule] += result.innocentsHeld();
+            }
+        }
+        System.out.printf(
+                "300 runs with evidence, at two crashes, never: servers lost %s, innocents held %s%n",
+                Arrays.toString(lost), Arrays.toString(held));
+        assertThat(held[0]).isZero();
+        assertThat(held[1]).isPositive();
+        assertThat(lost[2]).isGreaterThan(2 * lost[0]);
+    }
+
     private CrashGuard guard(String nodeId) {
         return CrashGuard.builder().clock(clock).nodeId(nodeId).build();
     }
