Load request bodies without a thread, and time out silent senders

Cause: Jetty's EagerContentHandler waits for ever for a body whose sender falls silent. Change: BodyLoader collects the kept start on demand, with a lowest rate; tables of bad input, of announcements, of drain, silence, restarts and cancellation. Conclusion: Slow senders are closed and hold no thread.

--- a/node/src/main/java/dev/zinniaring/node/CallBody.java
+++ b/node/src/main/java/dev/zinniaring/node/CallBody.java
@@ -12,7 +12,7 @@
  * The body of a request: a kept start and, if it is longer, a rest that can be streamed once.
  *
  * <pre>{@code
- * CallBody body = CallBody.read(stream, lengthBytes, maxBytes);
+ * CallBody body = CallBody.whole(bytes);
  * if (body.repeatable()) { ... a retry may send it again ... }
  * }</pre>
  */
@@ -39,31 +39,18 @@
         this.maxBytes = maxBytes;
     }
 
+    /** Returns a body that was read to its end. */
+    static CallBody whole(byte[] bytes) {
+        return bytes.length == 0 ? NONE : new CallBody(bytes, null, bytes.length, bytes.length);
+    }
+
     /**
-     * Reads the kept start of a body.
+     * Returns a body whose start was read.
      *
      * @param lengthBytes the declared length, or -1 if it is chunked
-     * @throws BodyException if it breaks off or is too large
      */
-    static CallBody read(InputStream in, long lengthBytes, long maxBytes) throws BodyException {
-        if (lengthBytes == 0) {
-            return NONE;
-        }
-        if (lengthBytes > maxBytes) {
-            throw new BodyException(TOO_LARGE, "larger than " + maxBytes + " bytes");
-        }
-        try {
-            byte[] start = in.readNBytes(KEPT_BYTES);
-            if (start.length > maxBytes) {
-                throw new BodyException(TOO_LARGE, "larger than " + maxBytes + " bytes");
-            }
-            boolean whole = start.length < KEPT_BYTES || start.length == lengthBytes;
-            return new CallBody(start, whole ? null : in, lengthBytes, maxBytes);
-        } catch (BodyException e) {
-            throw e;
-        } catch (IOException e) {
-            throw new BodyException(e);
-        }
+    static CallBody streamed(byte[] start, InputStream rest, long lengthBytes, long maxBytes) {
+        return new CallBody(start, rest, lengthBytes, maxBytes);
     }
 
     /** Returns the kept start; not to be changed. */
--- a/node/src/main/java/dev/zinniaring/node/CallContext.java
+++ b/node/src/main/java/dev/zinniaring/node/CallContext.java
@@ -33,31 +33,4 @@
         return new CallContext(
                 exchange, body, callId, route, rank, rankOrder, depth, number, deadlineNanos, key);
     }
-
-    /**
-     * Returns the same call with its body, or the kept start of it, read.
-     *
-     * @throws CallException if the body is too large or breaks off
-     */
-    CallContext withBody(long maxBytes) throws CallException {
-        try {
-            CallBody read = exchange.body(maxBytes);
-            if (read.whole()) {
-                exchange.watchClient();
-            }
-            return new CallContext(
-                    exchange,
-                    read,
-                    callId,
-                    route,
-                    rank,
-                    rankOrder,
-                    depth,
-                    attempt,
-                    deadlineNanos,
-                    key);
-        } catch (BodyException e) {
-            throw CallException.notRun(e.status(), "bad-body");
-        }
-    }
 }
--- a/node/src/main/java/dev/zinniaring/node/CallContexts.java
+++ b/node/src/main/java/dev/zinniaring/node/CallContexts.java
@@ -38,7 +38,7 @@
         return checked(
                 new CallContext(
                         exchange,
-                        CallBody.NONE,
+                        exchange.body(),
                         callId(exchange),
                         match.route().name(),
                         rank.name(),
@@ -61,7 +61,7 @@
         return checked(
                 new CallContext(
                         exchange,
-                        CallBody.NONE,
+                        exchange.body(),
                         callId(exchange),
                         route,
                         carried == null ? "" : carried,
--- a/node/src/main/java/dev/zinniaring/node/CallListener.java
+++ b/node/src/main/java/dev/zinniaring/node/CallListener.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.node;
 
+import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
@@ -18,7 +19,6 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.server.handler.EagerContentHandler;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.jspecify.annotations.Nullable;
@@ -31,6 +31,7 @@
     private static final int MIN_THREADS = 8;
     private static final int SPARE_THREADS = 24;
     private static final int AWAIT_STEP_MILLIS = 10;
+    private static final int BAD_REQUEST = 400;
     private static final int PAYLOAD_TOO_LARGE = 413;
     private static final int HEADERS_TOO_LARGE = 431;
 
@@ -44,6 +45,7 @@
     private final String name;
     private final ServerSocketChannel port;
     private final Limits limits;
+    private final Clock clock;
     private final CallHandler calls;
     private final Server server;
     private final ServerConnector connector;
@@ -51,10 +53,12 @@
     private final AtomicBoolean draining = new AtomicBoolean();
     private final LongAdder refused = new LongAdder();
 
-    CallListener(String name, ServerSocketChannel port, Limits limits, CallHandler calls) {
+    CallListener(
+            String name, ServerSocketChannel port, Limits limits, Clock clock, CallHandler calls) {
         this.name = name;
         this.port = port;
         this.limits = limits;
+        this.clock = clock;
         this.calls = calls;
         QueuedThreadPool threads =
                 new QueuedThreadPool(limits.maxConcurrentCalls() + SPARE_THREADS, MIN_THREADS);
@@ -73,12 +77,7 @@
         server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
         server.setErrorHandler(new CallErrors());
         server.setStopAtShutdown(false);
-        EagerContentHandler eager =
-                new EagerContentHandler(
-                        new EagerContentHandler.RetainedContentLoaderFactory(
-                                CallBody.KEPT_BYTES, 0, false));
-        eager.setHandler(new Calls());
-        server.setHandler(new Screen(eager));
+        server.setHandler(new Calls());
     }
 
     private HttpConfiguration http() {
@@ -86,7 +85,6 @@
         http.setRequestHeaderSize(limits.maxHeaderBytes());
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
-        http.setMinRequestDataRate(limits.minBodyBytesPerSecond());
         http.setMaxUnconsumedRequestContentReads(4);
         return http;
     }
@@ -148,50 +146,73 @@
         }
     }
 
-    /** Refuses what can be judged by its headers, before any of the body is read. */
-    private final class Screen extends Handler.Wrapper {
-        Screen(Handler next) {
-            super(next);
-        }
-
+    /** Refuses what can be judged by its headers; otherwise waits for the body. */
+    private final class Calls extends Handler.Abstract {
         @Override
-        public boolean handle(Request request, Response response, Callback callback)
-                throws Exception {
+        public boolean handle(Request request, Response response, Callback callback) {
             CallException refusal = refusal(request);
-            if (refusal == null) {
-                return super.handle(request, response, callback);
+            if (refusal != null) {
+                refuse(request, response, callback, refusal);
+            } else if (bodiless(request)) {
+                carry(request, response, callback, CallBody.NONE);
+            } else {
+                BodyLoader.load(request, limits, clock, new Body(request, response, callback));
             }
-            refused.increment();
-            response.getHeaders().put(HttpHeader.CONNECTION, "close");
-            new Exchange(request, response, callback, true).answer(refusal);
             return true;
         }
+    }
 
-        private @Nullable CallException refusal(Request request) {
-            if (request.getLength() > limits.maxBodyBytes()) {
-                return CallException.notRun(PAYLOAD_TOO_LARGE, "body-too-large");
-            }
-            if (request.getHeaders().size() > limits.maxHeaders()) {
-                return CallException.notRun(HEADERS_TOO_LARGE, "too-many-headers");
-            }
-            if (request.getMethod().equals("CONNECT")) {
-                return CallException.notRun(400, "bad-method");
-            }
-            return null;
+    private static boolean bodiless(Request request) {
+        return request.getLength() == 0
+                || (request.getLength() < 0
+                        && !request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING));
+    }
+
+    private @Nullable CallException refusal(Request request) {
+        if (request.getLength() > limits.maxBodyBytes()) {
+            return CallException.notRun(PAYLOAD_TOO_LARGE, "body-too-large");
         }
+        if (request.getHeaders().size() > limits.maxHeaders()) {
+            return CallException.notRun(HEADERS_TOO_LARGE, "too-many-headers");
+        }
+        if (request.getMethod().equals("CONNECT")) {
+            return CallException.notRun(BAD_REQUEST, "bad-method");
+        }
+        return null;
     }
 
-    private final class Calls extends Handler.Abstract {
+    private void refuse(
+            Request request, Response response, Callback callback, CallException refusal) {
+        refused.increment();
+        new Exchange(request, response, callback, CallBody.NONE, true).answer(refusal);
+    }
+
+    private void carry(Request request, Response response, Callback callback, CallBody body) {
+        inFlight.incrementAndGet();
+        Callback ended = Callback.from(callback, inFlight::decrementAndGet);
+        calls.handle(new Exchange(request, response, ended, body, draining.get()));
+    }
+
+    /** Carries a call once its body is here. */
+    private final class Body implements BodyLoader.Listener {
+        private final Request request;
+        private final Response response;
+        private final Callback callback;
+
+        Body(Request request, Response response, Callback callback) {
+            this.request = request;
+            this.response = response;
+            this.callback = callback;
+        }
+
         @Override
-        public boolean handle(Request request, Response response, Callback callback) {
-            inFlight.incrementAndGet();
-            Callback ended = Callback.from(callback, CallListener.this::ended);
-            calls.handle(new Exchange(request, response, ended, draining.get()));
-            return true;
+        public void loaded(CallBody body) {
+            carry(request, response, callback, body);
         }
-    }
 
-    private void ended() {
-        inFlight.decrementAndGet();
+        @Override
+        public void failed(CallException refusal) {
+            refuse(request, response, callback, refusal);
+        }
     }
 }
--- a/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
+++ b/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
@@ -69,8 +69,8 @@
                         new EntryCallsParts(
                                 routes, attempts, keyed, relay, metrics, limits, clock));
         owner = new OwnerCalls(routes, path, keys, relay, metrics, limits, clock);
-        callers = new CallListener("callers", parts.ports().callers(), limits, entry);
-        peers = new CallListener("peers", parts.ports().peers(), limits, owner);
+        callers = new CallListener("callers", parts.ports().callers(), limits, clock, entry);
+        peers = new CallListener("peers", parts.ports().peers(), limits, clock, owner);
     }
 
     @Override
--- a/node/src/main/java/dev/zinniaring/node/EntryCalls.java
+++ b/node/src/main/java/dev/zinniaring/node/EntryCalls.java
@@ -22,7 +22,6 @@
     private final KeyedCalls keyed;
     private final AnswerRelay relay;
     private final CallMetrics metrics;
-    private final Limits limits;
     private final Clock clock;
     private volatile boolean draining;
 
@@ -34,7 +33,6 @@
         keyed = parts.keyed();
         relay = parts.relay();
         metrics = parts.metrics();
-        limits = parts.limits();
         clock = parts.clock();
     }
 
@@ -83,16 +81,15 @@
         }
         gate.enter(call.rankOrder(), tables);
         try {
-            carry(withBody(call), match, pool);
+            if (call.body().whole()) {
+                exchange.watchClient();
+            }
+            carry(call, match, pool);
         } finally {
             gate.leave();
         }
     }
 
-    private CallContext withBody(CallContext call) throws CallException {
-        return call.withBody(limits.maxBodyBytes());
-    }
-
     private void carry(CallContext call, RouteMatch match, PoolState pool) throws CallException {
         if (call.key() != null) {
             keyed.carry(call, match, pool);
--- a/node/src/main/java/dev/zinniaring/node/Exchange.java
+++ b/node/src/main/java/dev/zinniaring/node/Exchange.java
@@ -22,14 +22,22 @@
     private final Callback callback;
     private final Cancellation cancellation = new Cancellation();
     private final ClientWatch watch;
-    private final boolean draining;
+    private final CallBody body;
+    private final boolean closing;
     private boolean watchStopped;
 
-    Exchange(Request request, Response response, Callback callback, boolean draining) {
+    /**
+     * Creates an exchange.
+     *
+     * @param closing whether the connection is closed after the answer
+     */
+    Exchange(
+            Request request, Response response, Callback callback, CallBody body, boolean closing) {
         this.request = request;
         this.response = response;
         this.callback = callback;
-        this.draining = draining;
+        this.body = body;
+        this.closing = closing;
         this.watch = ClientWatch.of(request, cancellation);
         request.addFailureListener(failure -> cancellation.cancel());
     }
@@ -89,17 +97,8 @@
         return names;
     }
 
-    /** Reads the kept start of the body. */
-    CallBody body(long maxBytes) throws BodyException {
-        long length = request.getLength();
-        if (length == 0 || (length < 0 && !chunked())) {
-            return CallBody.NONE;
-        }
-        return CallBody.read(Content.Source.asInputStream(request), length, maxBytes);
-    }
-
-    private boolean chunked() {
-        return request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    CallBody body() {
+        return body;
     }
 
     Cancellation cancellation() {
@@ -116,7 +115,7 @@
         if (!watchStopped) {
             watchStopped = true;
             boolean close = watch.stop();
-            if (close || draining) {
+            if (close || closing) {
                 response.getHeaders().put(HttpHeader.CONNECTION, "close");
             }
         }
--- a/node/src/main/java/dev/zinniaring/node/KeyHome.java
+++ b/node/src/main/java/dev/zinniaring/node/KeyHome.java
@@ -22,7 +22,6 @@
 
     private static final Logger log = LoggerFactory.getLogger(KeyHome.class);
     private static final long MAX_ASK_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final int MAX_MESSAGE_BYTES = 256 * 1024;
 
     private final String ownNodeId;
     private final IdempotencyMemory memory;
@@ -107,8 +106,8 @@
     void serve(Exchange exchange) throws CallException {
         KeyMessages.KeyRequest request;
         try {
-            CallBody body = exchange.body(MAX_MESSAGE_BYTES);
-            request = KeyMessages.read(body.allBytes(), KeyMessages.KeyRequest.class);
+            byte[] body = exchange.body().allBytes();
+            request = KeyMessages.read(body, KeyMessages.KeyRequest.class);
         } catch (IOException e) {
             throw CallException.notRun(400, "bad-key-request");
         }
--- a/node/src/main/java/dev/zinniaring/node/OwnerCalls.java
+++ b/node/src/main/java/dev/zinniaring/node/OwnerCalls.java
@@ -19,7 +19,6 @@
     private final KeyHome keys;
     private final AnswerRelay relay;
     private final CallMetrics metrics;
-    private final Limits limits;
     private volatile boolean draining;
 
     OwnerCalls(
@@ -37,7 +36,6 @@
         this.keys = keys;
         this.relay = relay;
         this.metrics = metrics;
-        this.limits = limits;
     }
 
     void drain() {
@@ -81,7 +79,10 @@
         CallContext call = contexts.owned(exchange, route, tables);
         gate.enter(call.rankOrder(), tables);
         try {
-            carry(call.withBody(limits.maxBodyBytes()), serverId);
+            if (call.body().whole()) {
+                exchange.watchClient();
+            }
+            carry(call, serverId);
         } finally {
             gate.leave();
         }
--- /dev/null
+++ b/node/src/test/java/dev/zinniaring/node/LifeTest.java
@@ -0,0 +1,221 @@
+package dev.zinniaring.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.standins.BackendServer;
+import dev.zinniaring.standins.ServiceTime;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Backend servers and nodes that come, leave and die. */
+class LifeTest {
+    private final OkHttpClient client =
+            new OkHttpClient.Builder().retryOnConnectionFailure(false).build();
+    private final TestMesh mesh = new TestMesh();
+    private final List<AutoCloseable> closed = new ArrayList<>();
+    private TestMesh.TestNode entry;
+    private TestMesh.TestNode owner;
+
+    @BeforeEach
+    void start() throws KernelException {
+        entry = mesh.node("entry");
+        owner = mesh.node("owner");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.connectionPool().evictAll();
+        for (AutoCloseable one : closed) {
+            one.close();
+        }
+        mesh.close();
+    }
+
+    /** Guards against P8: a call in flight that a shutdown cuts, or new work that is unclear. */
+    @Test
+    void drainingCutsNoCallAndAnswersNewOnesNotRun() throws Exception {
+        BackendServer server = announced(owner, 300_000);
+        List<CompletableFuture<Integer>> running = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            running.add(postLater("/write"));
+        }
+        NodeTest.eventually(() -> server.runs().total() == 5);
+
+        TestMesh.drain(owner, Duration.ofSeconds(10));
+
+        for (CompletableFuture<Integer> one : running) {
+            assertThat(one.get(10, TimeUnit.SECONDS)).isEqualTo(200);
+        }
+        try (Response answer = post(entry, "/write")) {
+            assertThat(answer.code()).isEqualTo(503);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("not-run");
+        }
+        assertThat(server.runs().total()).isEqualTo(5);
+    }
+
+    @Test
+    void aDrainingServerGetsNoNewWork() throws Exception {
+        BackendServer server = announced(owner, 0);
+        post(entry, "/write").close();
+
+        server.drain();
+
+        try (Response answer = post(entry, "/write")) {
+            assertThat(answer.code()).isEqualTo(503);
+            assertThat(answer.header("Zinniaring-Outcome")).isEqualTo("not-run");
+        }
+        assertThat(server.runs().total()).isEqualTo(1);
+    }
+
+    @Test
+    void aSilentServerIsForgotten() throws Exception {
+        BackendServer server = announced(owner, 0);
+        assertThat(mesh.records()).hasSize(1);
+
+        server.silent(true);
+
+        NodeTest.eventually(() -> mesh.records().isEmpty());
+        assertThat(owner.servers.all()).isEmpty();
+    }
+
+    /** Guards against a kept connection that a restarted node has closed: no call is unknown. */
+    @Test
+    void aCallAfterTheServerClosedItsConnectionsStillRuns() throws Exception {
+        BackendServer server = announced(owner, 0);
+        post(entry, "/write").close();
+
+        server.crash();
+        server.start();
+
+        try (Response answer = post(entry, "/write")) {
+            assertThat(answer.code()).isEqualTo(200);
+        }
+    }
+
+    /** Guards against work that goes on for callers who have gone. */
+    @Test
+    void aCallerThatGoesAwayCancelsTheCallAtTheServer() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            owner.serve(
+                    "s1", "katalog", (java.net.InetSocketAddress) listener.getLocalSocketAddress());
+            Call call = client.newCall(request(entry, "/write").build());
+            call.enqueue(ignoring());
+            try (Socket connection = listener.accept()) {
+                connection.setSoTimeout(20_000);
+                assertThat(connection.getInputStream().read()).isEqualTo('P');
+
+                call.cancel();
+
+                byte[] rest = connection.getInputStream().readAllBytes();
+                assertThat(new String(rest, StandardCharsets.ISO_8859_1)).startsWith("OST /write");
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "s1  | {} | 400 | service",
+                "s1  | {\"service\":\"a\",\"address\":\"host:1\",\"slots\":1} | 400 | address",
+                "s1  | {\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":0} | 400 | slots",
+                "s1  | {\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":1,"
+                        + "\"state\":\"gone\"} | 400 | state",
+                "s1  | {\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":1,\"x\":1} | 400"
+                        + " | x",
+                "s 1 | {\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":1} | 400 | id",
+                "s1  | {\"service\":\"a\",\"address\":\"127.0.0.1:1\",\"slots\":1} | 204 | ''",
+            })
+    void anAnnouncementIsReadStrictly(String id, String body, int status, String path)
+            throws IOException {
+        Request put =
+                new Request.Builder()
+                        .url(
+                                "http://"
+                                        + HopRequests.text(owner.announcements.address())
+                                        + "/servers/"
+                                        + id)
+                        .put(RequestBody.create(body, MediaType.get("application/json")))
+                        .build();
+
+        try (Response answer = client.newCall(put).execute()) {
+            assertThat(answer.code()).isEqualTo(status);
+            assertThat(answer.body().string()).contains(path);
+        }
+    }
+
+    private BackendServer announced(TestMesh.TestNode node, long serviceMicros) {
+        BackendServer server =
+                BackendServer.builder("s1", "katalog")
+                        .serviceTime(ServiceTime.fixed(serviceMicros))
+                        .announceTo(node.announcements.address())
+                        .build();
+        closed.add(server);
+        server.start();
+        return server;
+    }
+
+    private CompletableFuture<Integer> postLater(String path) {
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        client.newCall(request(entry, path).build())
+                .enqueue(
+                        new Callback() {
+                            @Override
+                            public void onFailure(Call call, IOException e) {
+                                status.completeExceptionally(e);
+                            }
+
+                            @Override
+                            public void onResponse(Call call, Response response) {
+                                response.close();
+                                status.complete(response.code());
+                            }
+                        });
+        return status;
+    }
+
+    private static Callback ignoring() {
+        CountDownLatch ended = new CountDownLatch(1);
+        return new Callback() {
+            @Override
+            public void onFailure(Call call, IOException e) {
+                ended.countDown();
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                response.close();
+            }
+        };
+    }
+
+    private Response post(TestMesh.TestNode node, String path) throws IOException {
+        return client.newCall(request(node, path).build()).execute();
+    }
+
+    private static Request.Builder request(TestMesh.TestNode node, String path) {
+        return new Request.Builder().url(node.url(path)).post(RequestBody.create(new byte[1]));
+    }
+}
