Tell operators the admin addresses of all members

Cause: The operators' command waits for every node and needs to know where to ask. Change: AdminDirectory asks members by datagram when /status is read; /status counts members and names the awaited version as a number. A change of ranks takes over queue and slots in use.

--- /dev/null
+++ b/node/src/main/java/dev/zinniaring/node/AdminDirectory.java
@@ -0,0 +1,113 @@
+package dev.zinniaring.node;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.membership.Member;
+import dev.zinniaring.membership.Membership;
+import dev.zinniaring.transport.Network;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Knows where the members of the mesh serve their admin pages. Asks them by datagram when an
+ * operator wants to know, so that it costs nothing otherwise.
+ */
+final class AdminDirectory {
+    private static final Duration KEPT = Duration.ofSeconds(10);
+    private static final int TRIES = 4;
+    private static final int TRY_MILLIS = 100;
+
+    private final String ownNodeId;
+    private final Membership membership;
+    private final Network network;
+    private final Clock clock;
+    private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+    private final Object arrival = new Object();
+    private volatile String ownAddress = "";
+
+    private record Entry(String address, long heardNanos) {}
+
+    /** Creates the directory; the network must not have started. */
+    AdminDirectory(String ownNodeId, Membership membership, Network network, Clock clock) {
+        this.ownNodeId = ownNodeId;
+        this.membership = membership;
+        this.network = network;
+        this.clock = clock;
+        network.handle(
+                AdminMessages.AdminQuery.CODEC,
+                (from, query) -> network.datagram(from, new AdminMessages.AdminAnswer(ownAddress)));
+        network.handle(
+                AdminMessages.AdminAnswer.CODEC,
+                (from, answer) -> heard(from.nodeId(), answer.address()));
+    }
+
+    /** Sets the address that other nodes are told. */
+    void own(String address) {
+        ownAddress = address;
+    }
+
+    private void heard(String nodeId, String address) {
+        if (address.isEmpty() || membership.view().member(nodeId).isEmpty()) {
+            return;
+        }
+        entries.put(nodeId, new Entry(address, clock.nanos()));
+        synchronized (arrival) {
+            arrival.notifyAll();
+        }
+    }
+
+    /** Returns the admin addresses of the live members that answer, by node id. */
+    SortedMap<String, String> addresses() {
+        Collection<Member> live = membership.view().live();
+        entries.values().removeIf(entry -> clock.since(entry.heardNanos()).compareTo(KEPT) > 0);
+        for (int i = 0; i < TRIES && ask(live) > 0; i++) {
+            await(live);
+        }
+        SortedMap<String, String> addresses = new TreeMap<>();
+        for (Member member : live) {
+            Entry entry = entries.get(member.nodeId());
+            if (entry != null) {
+                addresses.put(member.nodeId(), entry.address());
+            }
+        }
+        addresses.put(ownNodeId, ownAddress);
+        return addresses;
+    }
+
+    /** Asks the members that are not known, and returns how many they are. */
+    private int ask(Collection<Member> live) {
+        int asked = 0;
+        for (Member member : live) {
+            if (!member.nodeId().equals(ownNodeId) && !entries.containsKey(member.nodeId())) {
+                network.datagram(member.peer(), new AdminMessages.AdminQuery());
+                asked++;
+            }
+        }
+        return asked;
+    }
+
+    /** Waits until all members are known, or it is time to ask again. */
+    private void await(Collection<Member> live) {
+        long startNanos = clock.nanos();
+        synchronized (arrival) {
+            try {
+                long leftMillis = TRY_MILLIS;
+                while (leftMillis > 0 && !known(live)) {
+                    arrival.wait(leftMillis);
+                    leftMillis = TRY_MILLIS - clock.since(startNanos).toMillis();
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private boolean known(Collection<Member> live) {
+        return live.stream()
+                .map(Member::nodeId)
+                .allMatch(nodeId -> nodeId.equals(ownNodeId) || entries.containsKey(nodeId));
+    }
+}
--- a/node/src/main/java/dev/zinniaring/node/AdminPlugin.java
+++ b/node/src/main/java/dev/zinniaring/node/AdminPlugin.java
@@ -8,7 +8,6 @@
 import dev.zinniaring.kernel.Kernel;
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.kernel.Plugin;
-import dev.zinniaring.membership.Member;
 import dev.zinniaring.membership.MemberView;
 import dev.zinniaring.membership.Membership;
 import io.javalin.config.RoutesConfig;
@@ -18,7 +17,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -37,6 +35,7 @@
     private final NodeSettings settings;
     private final VersionDistribution versions;
     private final Membership membership;
+    private final AdminDirectory directory;
     private final PrometheusRegistry registry;
     private final WebServer web;
     private @Nullable Kernel kernel;
@@ -45,10 +44,12 @@
             NodeSettings settings,
             VersionDistribution versions,
             Membership membership,
+            AdminDirectory directory,
             PrometheusRegistry registry) {
         this.settings = settings;
         this.versions = versions;
         this.membership = membership;
+        this.directory = directory;
         this.registry = registry;
         this.web = new WebServer("admin", settings.adminAddress(), this::routes);
     }
@@ -92,9 +93,9 @@
     private Status status() {
         VersionStatus now = versions.state();
         MemberView view = membership.view();
-        SortedMap<String, List<String>> members = new TreeMap<>();
+        SortedMap<String, Integer> zones = new TreeMap<>();
         for (String zone : view.zones()) {
-            members.put(zone, view.liveIn(zone).stream().map(Member::nodeId).sorted().toList());
+            zones.put(zone, view.liveIn(zone).size());
         }
         return new Status(
                 settings.nodeId(),
@@ -102,16 +103,28 @@
                 now.number(),
                 now.hash(),
                 now.number() > 0,
+                awaited(now),
                 now.waitingFor(),
                 now.refusedVersion(),
-                members,
-                List.of(HopRequests.text(address())));
+                view.live().size(),
+                zones,
+                directory.addresses());
+    }
+
+    /** Returns the version that the node waits for, 0 if none or if it does not know of one. */
+    private static long awaited(VersionStatus now) {
+        long next = Math.max(now.heldNumber(), now.floor());
+        return next > now.number() ? next : 0;
     }
 
     /**
      * The answer of {@code /status}.
      *
-     * @param members ids of the live members by availability zone
+     * @param waitingFor number of the version that the node waits for, 0 if none
+     * @param waitingReason what the node lacks for its first version, empty if it has one
+     * @param members number of live members
+     * @param zones live members by availability zone
+     * @param adminAddresses admin addresses of live members by node id
      */
     private record Status(
             String node,
@@ -119,10 +132,12 @@
             long version,
             String hash,
             boolean ready,
-            String waitingFor,
+            long waitingFor,
+            String waitingReason,
             long refusedVersion,
-            SortedMap<String, List<String>> members,
-            List<String> adminAddresses) {}
+            int members,
+            SortedMap<String, Integer> zones,
+            SortedMap<String, String> adminAddresses) {}
 
     @Override
     public String name() {
@@ -137,6 +152,7 @@
     @Override
     public void start() throws KernelException {
         web.start();
+        directory.own(HopRequests.text(address()));
     }
 
     @Override
--- a/node/src/main/java/dev/zinniaring/node/AdmissionFactory.java
+++ b/node/src/main/java/dev/zinniaring/node/AdmissionFactory.java
@@ -18,13 +18,19 @@
      * @param connections connections that it accepts
      * @param ranks the ranks in force, empty before the first version
      * @param pool the pool of the server's service, or null if no pool names the service
+     * @param before the server's controller with other ranks or bounds, whose calls it takes over;
+     *     null if there is none
      */
     AdmissionController create(
-            int slots, int connections, Collection<Rank> ranks, @Nullable Pool pool);
+            int slots,
+            int connections,
+            Collection<Rank> ranks,
+            @Nullable Pool pool,
+            @Nullable AdmissionController before);
 
     /** Returns the factory of controllers that admit by rank. */
     static AdmissionFactory ranked(Clock clock) {
-        return (slots, connections, ranks, pool) -> {
+        return (slots, connections, ranks, pool, before) -> {
             RankedAdmission.Builder builder =
                     RankedAdmission.builder().clock(clock).slots(slots).connections(connections);
             if (!ranks.isEmpty()) {
@@ -33,6 +39,9 @@
             if (pool != null) {
                 builder.maxQueued(pool.maxQueued()).maxQueueMillis(pool.maxQueueMillis());
             }
+            if (before instanceof RankedAdmission replaced) {
+                builder.replacing(replaced);
+            }
             return builder.build();
         };
     }
--- a/node/src/main/java/dev/zinniaring/node/LocalServers.java
+++ b/node/src/main/java/dev/zinniaring/node/LocalServers.java
@@ -69,7 +69,7 @@
 
     private AdmissionController admission(@Nullable LocalServer before, Announcement announced) {
         if (before == null || replaced(before.announced(), announced)) {
-            return create(announced);
+            return create(announced, null);
         }
         if (before.announced().slots() != announced.slots()) {
             before.admission().resize(announced.slots());
@@ -77,12 +77,14 @@
         return before.admission();
     }
 
-    private AdmissionController create(Announcement announced) {
+    private AdmissionController create(
+            Announcement announced, @Nullable AdmissionController before) {
         return admissions.create(
                 announced.slots(),
                 announced.connections(),
                 tables.ranks().values(),
-                pool(announced.service()));
+                pool(announced.service()),
+                before);
     }
 
     /** A server that drained and is back, or that moved, starts with a fresh controller. */
@@ -122,7 +124,7 @@
             return;
         }
         for (LocalServer server : all()) {
-            AdmissionController admission = create(server.announced());
+            AdmissionController admission = create(server.announced(), server.admission());
             if (server.announced().state() == EndpointState.DRAINING) {
                 admission.drain();
             }
