Spend fewer bytes across zones for a change

Counting by message type showed three readers that polled twice a second each, about 1.75 reads of the whole body a change, hashes as text, and digests from both gateways of each zone every second. Change: the publisher stores the delta from the last version and readers try it first; the reader of the first zone polls at 500 ms, those of other zones every 4 s until a version is not sent to them; hashes travel as bytes; only the first gateway of a zone compares itself with another zone, every 2 s. A reader that cannot see all seeds answer leaves a row that proves the record, so that a zone cut off from the others but not from the platform follows at once; before, it waited for other readers to take part.

--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointRepair.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointRepair.java
@@ -20,6 +20,7 @@
     private static final double LISTS_PER_SECOND = 20;
     private static final double LISTS_AT_ONCE = 40;
 
+    private final CrossZoneTurn turn = new CrossZoneTurn();
     private final Context context;
     private final EndpointStore store;
     private final TokenBucket lists;
@@ -36,12 +37,12 @@
         this.lists = new TokenBucket(context.clock(), LISTS_PER_SECOND, LISTS_AT_ONCE);
     }
 
-    /** Sends a digest to one peer of the own zone, and from a gateway to one of another zone. */
+    /** Sends a digest to one peer of the own zone, and in its turn to one of another zone. */
     void sendDigests() {
         EndpointDigest digest = EndpointDigest.summaryOf(store.digest());
         Gossip.inZone(context.view(), context.random())
                 .ifPresent(peer -> context.network().send(peer, digest));
-        if (context.view().isGateway()) {
+        if (turn.next(context.view())) {
             Gossip.acrossZones(context.view(), context.random())
                     .ifPresent(peer -> context.network().send(peer, digest));
         }
--- a/distribution/src/main/java/dev/zinniaring/distribution/HeadReader.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/HeadReader.java
@@ -22,6 +22,7 @@
     private final Mailbox mailbox;
     private final VersionState state;
     private final Listener listener;
+    private final BodyReader bodies;
     private boolean busy;
     private boolean reachable = true;
     private long reads;
@@ -43,12 +44,14 @@
             Executor executor,
             Mailbox mailbox,
             VersionState state,
-            Listener listener) {
+            Listener listener,
+            BodyReader bodies) {
         this.source = source;
         this.executor = executor;
         this.mailbox = mailbox;
         this.state = state;
         this.listener = listener;
+        this.bodies = bodies;
     }
 
     /** Reads the head, and the body if it is above what is held; does nothing while one runs. */
@@ -104,7 +107,7 @@
     }
 
     private void readBody(Head head) throws PublishException, DistributionException {
-        byte[] body = source.body(head.hash());
+        byte[] body = bodies.read(source, head, state.now().held());
         try {
             HeldVersion version = HeldVersion.read(head.number(), head.hash(), body);
             mailbox.post(() -> listener.found(version));
--- a/distribution/src/main/java/dev/zinniaring/distribution/PlatformRound.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/PlatformRound.java
@@ -7,7 +7,7 @@
 
 /**
  * Puts a majority of seeds together from rows that several readers leave on the platform, each for
- * the seeds that it reaches.
+ * the seeds that it reaches, or learns from a row that another reader has done so.
  *
  * <p>A row is named {@code seed@life}. Its value holds the version's number and a stamp, one above
  * the highest stamp that the writer had read before it asked the seed. A majority that is seen once
@@ -22,11 +22,15 @@
     // A seed that restarted in between never completes the first sight; then it is taken anew.
     private static final long STALE_STAMPS = 8;
 
+    /** Key of the row that names the highest number known to be recorded by a majority. */
+    static final String RECORDED = "recorded";
+
     private final long number;
     private final Seeds seeds;
     private Map<String, Long> stamps = Map.of();
     private Set<String> firstSeen = Set.of();
     private long firstStamp;
+    private boolean recorded;
 
     PlatformRound(long number, Seeds seeds) {
         this.number = number;
@@ -35,6 +39,8 @@
 
     /** Learns all rows, as read at one moment. */
     void read(Map<String, Long> rows) {
+        // That a majority recorded a number stays true, so that one reader's proof serves all.
+        recorded = rows.getOrDefault(RECORDED, 0L) >= number;
         stamps = new HashMap<>();
         rows.forEach(this::addRow);
         boolean majority = seedsOf(stamps.keySet()).size() >= seeds.majority();
@@ -60,6 +66,9 @@
 
     /** Returns whether the version may be put in force. */
     boolean complete() {
+        if (recorded) {
+            return true;
+        }
         Set<String> twice = new HashSet<>(firstSeen);
         twice.removeIf(key -> stamps.getOrDefault(key, 0L) < firstStamp + 2);
         return seedsOf(twice).size() >= seeds.majority();
--- a/distribution/src/main/java/dev/zinniaring/distribution/PollingDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/PollingDistribution.java
@@ -35,7 +35,8 @@
                         Objects.requireNonNull(builder.platformExecutor, "platformExecutor"),
                         mailbox,
                         state,
-                        new Found());
+                        new Found(),
+                        BodyReader.whole());
     }
 
     /** Returns a builder. */
--- a/distribution/src/main/java/dev/zinniaring/distribution/Recorder.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Recorder.java
@@ -22,6 +22,9 @@
     private static final Logger log = LoggerFactory.getLogger(Recorder.class);
     private static final Duration FIRST_RETRY = Duration.ofMillis(200);
     private static final Duration MAX_RETRY = Duration.ofSeconds(2);
+    // Longer than a lost frame takes to be sent again.
+    private static final Duration PROOF_DELAY = Duration.ofMillis(500);
+
     // Retries without a majority before rows on the platform are used.
     private static final int RETRIES_BEFORE_ROWS = 3;
 
@@ -32,6 +35,7 @@
     private final Executor executor;
     private final Consumer<HeldVersion> recorded;
     private @Nullable Round round;
+    private @Nullable Round finished;
     private boolean rowsBusy;
 
     Recorder(
@@ -128,6 +132,9 @@
     private void acknowledged(String seed, RecordAck ack) {
         Round asked = round;
         if (asked == null) {
+            if (finished != null) {
+                finished.acks.acknowledged(seed, ack);
+            }
             return;
         }
         asked.acks.acknowledged(seed, ack);
@@ -206,5 +213,31 @@
     private void finish(Round done) {
         stop();
         recorded.accept(done.version);
+        finished = done;
+        context.after(PROOF_DELAY, () -> leaveProof(done));
+    }
+
+    /**
+     * Lets readers that are cut off from the seeds, but not from the platform, go on. Needed only
+     * if some seed has not answered by now.
+     */
+    private void leaveProof(Round done) {
+        if (finished != done || done.acks.acknowledgements() == seeds.count()) {
+            return;
+        }
+        long number = done.version.number();
+        try {
+            executor.execute(() -> putProof(number));
+        } catch (RejectedExecutionException e) {
+            log.debug("proof of version {} not left because the executor has stopped", number);
+        }
+    }
+
+    private void putProof(long number) {
+        try {
+            source.putMark(PlatformRound.RECORDED, number);
+        } catch (PublishException e) {
+            log.debug("proof of version {} could not be left: {}", number, e.getMessage());
+        }
     }
 }
--- a/distribution/src/main/java/dev/zinniaring/distribution/Timings.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Timings.java
@@ -5,7 +5,9 @@
 /**
  * How often a node does what.
  *
- * @param headPoll time between reads of the platform's head by a reader
+ * @param headPoll time between reads of the platform's head by the first zone's reader
+ * @param backupPoll time between such reads by the readers of other zones; bounds how late a change
+ *     is when the first zone is cut off
  * @param digest time between digests sent to one peer
  * @param endpointBatch time for which endpoint records are gathered into one batch
  * @param startJitter longest random delay before a starting node asks for content
@@ -16,6 +18,7 @@
  */
 public record Timings(
         Duration headPoll,
+        Duration backupPoll,
         Duration digest,
         Duration endpointBatch,
         Duration startJitter,
@@ -26,6 +29,7 @@
     public static Timings standard() {
         return new Timings(
                 Duration.ofMillis(500),
+                Duration.ofSeconds(4),
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
                 Duration.ofMillis(200),
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionBody.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionBody.java
@@ -16,12 +16,13 @@
                     46,
                     VersionBody.class,
                     (message, out) -> {
-                        out.packLong(message.number).packString(message.hash);
+                        out.packLong(message.number);
+                        Wire.hash(out, message.hash);
                         Wire.bytes(out, message.packedBody);
                     },
                     in ->
                             new VersionBody(
                                     Wire.natural(in),
-                                    Wire.text(in, Wire.MAX_HASH_BYTES),
+                                    Wire.hash(in),
                                     Wire.bytes(in, Wire.MAX_PACKED_BYTES)));
 }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionDigest.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionDigest.java
@@ -14,6 +14,9 @@
             Wire.repairable(
                     47,
                     VersionDigest.class,
-                    (message, out) -> out.packLong(message.number).packString(message.hash),
-                    in -> new VersionDigest(Wire.natural(in), Wire.text(in, Wire.MAX_HASH_BYTES)));
+                    (message, out) -> {
+                        out.packLong(message.number);
+                        Wire.hash(out, message.hash);
+                    },
+                    in -> new VersionDigest(Wire.natural(in), Wire.hash(in)));
 }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.kernel.Scheduler.Cancellable;
+import dev.zinniaring.membership.MemberView;
 import dev.zinniaring.model.Version;
 import dev.zinniaring.publish.VersionSource;
 import dev.zinniaring.transport.Peer;
@@ -22,6 +23,7 @@
     private final VersionState state;
     private final Consumer<Version> listener;
     private final HeadReader reader;
+    private final PollPlan polls;
     private final FloorFinder floors;
     private final Recorder recorder;
     private final VersionSpread spread;
@@ -43,7 +45,15 @@
         this.listener = listener;
         spread = new VersionSpread(context, state, this::accepted);
         recorder = new Recorder(context, seeds, desk, source, executor, spread::recordedHere);
-        reader = new HeadReader(source, executor, context.mailbox(), state, new Found());
+        reader =
+                new HeadReader(
+                        source,
+                        executor,
+                        context.mailbox(),
+                        state,
+                        new Found(),
+                        BodyReader.deltaFirst());
+        polls = new PollPlan(context.clock(), context.timings());
         floors = new FloorFinder(context, seeds, desk, reader, this::floorFound);
     }
 
@@ -88,6 +98,11 @@
     }
 
     void onPush(Peer from, VersionPush push) {
+        // A push of what this reader has just found itself shows as well that others bring
+        // versions.
+        if (push.number() >= state.now().heldNumber()) {
+            polls.sent();
+        }
         spread.onPush(from, push);
     }
 
@@ -115,7 +130,8 @@
     }
 
     private void poll() {
-        if (running && context.view().isReader()) {
+        MemberView view = context.view();
+        if (running && view.isReader() && polls.due(PollPlan.isPreferred(view))) {
             reader.readVersion();
         }
     }
@@ -159,6 +175,20 @@
         listener.accept(version);
     }
 
+    /** Records a version that another zone's reader should have pushed by now. */
+    private void recordIfMissed(HeldVersion version) {
+        if (version.number() > state.now().heldNumber()) {
+            polls.missed();
+            record(version);
+        }
+    }
+
+    private void record(HeldVersion version) {
+        if (running && version.number() > state.now().heldNumber()) {
+            recorder.record(version);
+        }
+    }
+
     /** Takes what was read from the platform. */
     private final class Found implements HeadReader.Listener {
         @Override
@@ -168,8 +198,11 @@
 
         @Override
         public void found(HeldVersion version) {
-            if (running && version.number() > state.now().heldNumber()) {
-                recorder.record(version);
+            Duration patience = polls.patience(PollPlan.isPreferred(context.view()));
+            if (patience.isZero()) {
+                record(version);
+            } else {
+                context.after(patience, () -> recordIfMissed(version));
             }
         }
     }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionPull.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionPull.java
@@ -14,6 +14,9 @@
             Wire.repairable(
                     45,
                     VersionPull.class,
-                    (message, out) -> out.packLong(message.heldNumber).packString(message.heldHash),
-                    in -> new VersionPull(Wire.natural(in), Wire.text(in, Wire.MAX_HASH_BYTES)));
+                    (message, out) -> {
+                        out.packLong(message.heldNumber);
+                        Wire.hash(out, message.heldHash);
+                    },
+                    in -> new VersionPull(Wire.natural(in), Wire.hash(in)));
 }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionPush.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionPush.java
@@ -28,17 +28,19 @@
                     44,
                     VersionPush.class,
                     (message, out) -> {
-                        out.packLong(message.number).packString(message.hash);
-                        out.packLong(message.baseNumber).packString(message.baseHash);
+                        out.packLong(message.number);
+                        Wire.hash(out, message.hash);
+                        out.packLong(message.baseNumber);
+                        Wire.hash(out, message.baseHash);
                         Wire.bytes(out, message.delta);
                         Wire.names(out, message.zones);
                     },
                     in ->
                             new VersionPush(
                                     Wire.natural(in),
-                                    Wire.text(in, Wire.MAX_HASH_BYTES),
+                                    Wire.hash(in),
                                     Wire.natural(in),
-                                    Wire.text(in, Wire.MAX_HASH_BYTES),
+                                    Wire.hash(in),
                                     Wire.bytes(in, Wire.MAX_PACKED_BYTES),
                                     Wire.names(in)));
 }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionSpread.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionSpread.java
@@ -28,6 +28,7 @@
     private final VersionState state;
     private final BiConsumer<HeldVersion, VersionState.Outcome> accepted;
     private final TokenBucket bodies;
+    private final CrossZoneTurn turn = new CrossZoneTurn();
     private @Nullable Delta delta;
     private @Nullable VersionBody body;
     private long pullNanos;
@@ -109,13 +110,13 @@
         }
     }
 
-    /** Sends a digest to one peer of the own zone, and from a gateway to one of another zone. */
+    /** Sends a digest to one peer of the own zone, and in its turn to one of another zone. */
     void sendDigests() {
         VersionState.Snapshot now = state.now();
         VersionDigest digest = new VersionDigest(now.heldNumber(), now.heldHash());
         Gossip.inZone(context.view(), context.random())
                 .ifPresent(peer -> context.network().send(peer, digest));
-        if (context.view().isGateway()) {
+        if (turn.next(context.view())) {
             Gossip.acrossZones(context.view(), context.random())
                     .ifPresent(peer -> context.network().send(peer, digest));
         }
--- a/distribution/src/main/java/dev/zinniaring/distribution/Wire.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Wire.java
@@ -3,6 +3,7 @@
 import dev.zinniaring.transport.Message;
 import dev.zinniaring.transport.MessageCodec;
 import java.io.IOException;
+import java.util.HexFormat;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.SortedSet;
@@ -14,7 +15,7 @@
 /** Reading and writing of the fields of messages, with a limit on every length. */
 final class Wire {
     static final int MAX_NAME_BYTES = 256;
-    static final int MAX_HASH_BYTES = 64;
+    static final int MAX_HASH_BYTES = 32;
     static final int MAX_SEEDS = 1_024;
     static final int MAX_ZONES = 256;
     // Below the 4 MiB limit of a frame, with room for the other fields.
@@ -37,6 +38,16 @@
         return new String(in.readPayload(length), java.nio.charset.StandardCharsets.UTF_8);
     }
 
+    /** Reads a hash as hexadecimal digits, empty for none. */
+    static String hash(MessageUnpacker in) throws IOException {
+        return HexFormat.of().formatHex(bytes(in, MAX_HASH_BYTES));
+    }
+
+    /** Writes hexadecimal digits as half as many bytes. */
+    static void hash(MessagePacker out, String hash) throws IOException {
+        bytes(out, HexFormat.of().parseHex(hash));
+    }
+
     static byte[] bytes(MessageUnpacker in, int maxBytes) throws IOException {
         return in.readPayload(checked(in.unpackBinaryHeader(), maxBytes, "binary"));
     }
--- a/membership/src/main/java/dev/zinniaring/membership/ListExchange.java
+++ b/membership/src/main/java/dev/zinniaring/membership/ListExchange.java
@@ -25,6 +25,7 @@
     private final List<InetSocketAddress> seeds;
     private long nextExchangeNanos;
     private long nextSeedNanos;
+    private boolean otherZoneTurn;
 
     ListExchange(Core core, Prober prober, List<InetSocketAddress> seeds) {
         this.core = core;
@@ -114,8 +115,13 @@
         }
     }
 
+    /**
+     * Only the first gateway asks, in every second round: changes are pushed at once, so that
+     * repair across zones may be slower, and bytes across zones cost more.
+     */
     private void digestToOtherZone() {
-        if (!core.view().isGateway()) {
+        otherZoneTurn = !otherZoneTurn;
+        if (!otherZoneTurn || !core.view().isReader()) {
             return;
         }
         List<String> zones = new ArrayList<>(core.view().zones());
--- a/publish/src/main/java/dev/zinniaring/publish/MeshKeys.java
+++ b/publish/src/main/java/dev/zinniaring/publish/MeshKeys.java
@@ -33,6 +33,10 @@
         return marks() + seed;
     }
 
+    String delta(String baseHash, String hash) {
+        return "deltas/" + baseHash + "/" + hash;
+    }
+
     String body(String hash) {
         return "tables/" + hash;
     }
--- a/publish/src/main/java/dev/zinniaring/publish/PlatformVersionSource.java
+++ b/publish/src/main/java/dev/zinniaring/publish/PlatformVersionSource.java
@@ -82,6 +82,15 @@
         }
     }
 
+    @Override
+    public Optional<byte[]> delta(String baseHash, String hash) throws PublishException {
+        try {
+            return objects.get(keys.delta(baseHash, hash));
+        } catch (PlatformException e) {
+            throw Failures.withoutEffect("the delta to " + hash + " cannot be read", e);
+        }
+    }
+
     /** Returns one entry of the history, or empty if no such version was accepted. */
     Optional<VersionEntry> entry(long number) throws PublishException {
         try {
--- a/publish/src/main/java/dev/zinniaring/publish/Publisher.java
+++ b/publish/src/main/java/dev/zinniaring/publish/Publisher.java
@@ -38,6 +38,7 @@
     private final String author;
     private final TokenSource tokens;
     private final TokenRows tokenRows;
+    private final DeltaWriter deltas;
     private final PlatformVersionSource source;
     private final Consumer<String> beforeCommit;
 
@@ -51,6 +52,7 @@
         this.tokens = new TokenSource(builder.random);
         this.tokenRows = new TokenRows(keys, tables, tokens);
         this.source = new PlatformVersionSource(builder.mesh, tables, objects, builder.random);
+        this.deltas = new DeltaWriter(keys, objects, source);
     }
 
     /** Starts the description of a publisher of one mesh. */
@@ -91,6 +93,7 @@
         check(body);
         String hash = TablesCodec.hash(body);
         putBody(hash, body);
+        deltas.write(base, hash, content);
         return commit(base, hash);
     }
 
@@ -221,7 +224,8 @@
 
     private VersionEntry rollback(long number, Head base) throws PublishException {
         VersionEntry old = entry(number);
-        check(source.body(old.hash()));
+        Tables content = check(source.body(old.hash()));
+        deltas.write(base, old.hash(), content);
         return commit(base, old.hash());
     }
 
--- a/publish/src/main/java/dev/zinniaring/publish/VersionSource.java
+++ b/publish/src/main/java/dev/zinniaring/publish/VersionSource.java
@@ -18,6 +18,14 @@
      */
     byte[] body(String hash) throws PublishException;
 
+    /**
+     * Returns the delta between two bodies, as {@code TablesDelta} writes it, or empty if the
+     * platform holds none. A delta is a shortcut: whoever cannot use it reads the body.
+     */
+    default Optional<byte[]> delta(String baseHash, String hash) throws PublishException {
+        return Optional.empty();
+    }
+
     /** Returns the marks that seeds have left on the platform, by seed. */
     Map<String, Long> marks() throws PublishException;
 
