Name the settings file once when its content is refused

Cause: each problem repeated the file's path, with # between the parts of a nested field. Change: the message names the file; the problems name the fields.

--- a/ctl/src/main/java/dev/zinniaring/ctl/Ctl.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/Ctl.java
@@ -163,10 +163,12 @@
 
     private static CtlSettings settings(String file) throws CtlException {
         try {
-            return CtlSettings.parse(Files.readString(Path.of(file)), file);
+            return CtlSettings.parse(Files.readString(Path.of(file)));
         } catch (SettingsException e) {
             throw new CtlException(
-                    ExitStatus.USAGE, "the settings are not valid:\n" + e.getMessage(), e);
+                    ExitStatus.USAGE,
+                    "the settings in " + file + " are not valid:\n" + e.getMessage(),
+                    e);
         } catch (IOException | InvalidPathException e) {
             throw new CtlException(ExitStatus.USAGE, "cannot read settings " + file, e);
         }
--- a/ctl/src/main/java/dev/zinniaring/ctl/CtlSettings.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/CtlSettings.java
@@ -49,9 +49,9 @@
      *
      * @throws SettingsException with every problem
      */
-    public static CtlSettings parse(String text, String path) throws SettingsException {
+    public static CtlSettings parse(String text) throws SettingsException {
         List<Problem> problems = new ArrayList<>();
-        JsonFields fields = JsonFields.parse(text, path, problems);
+        JsonFields fields = JsonFields.parse(text, "", problems);
         String mesh = fields.text("mesh");
         if (!mesh.isEmpty() && !MESH.matcher(mesh).matches()) {
             fields.report("mesh", mesh, "lower-case letters, digits and hyphens");
