Separate a link's deadlines and count any bytes as a sign of life

Cause: A large frame that took longer than 10 s to arrive looked like silence, because only whole frames counted.

An accepted socket that fails at once is closed.

--- a/transport/src/main/java/dev/zinniaring/transport/Link.java
+++ b/transport/src/main/java/dev/zinniaring/transport/Link.java
@@ -6,7 +6,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -22,16 +21,13 @@
     private final @Nullable InetSocketAddress target;
     private final FrameDecoder decoder;
     private final LinkWriter writer;
-    private final LinkSilence silence;
+    private final LinkDeadlines deadlines;
     private Phase phase;
     private @Nullable Peer expected;
     private @Nullable SocketChannel channel;
     private @Nullable SelectionKey key;
     private @Nullable Peer peer;
     private long incarnation;
-    private long startedNanos;
-    private long lastUseNanos;
-    private long partialSinceNanos;
 
     /** The life of a link. */
     enum Phase {
@@ -54,12 +50,7 @@
         this.decoder = new FrameDecoder(MAX_GREETING_BYTES);
         this.writer = new LinkWriter(context, this::flush);
         this.phase = Phase.WAITING;
-        this.startedNanos = now();
-        this.silence =
-                new LinkSilence(
-                        context.limits().silenceTimeout(),
-                        context.limits().handshakeTimeout(),
-                        startedNanos);
+        this.deadlines = new LinkDeadlines(context.limits(), target == null, now());
     }
 
     static Link to(
@@ -85,7 +76,7 @@
             return;
         }
         phase = Phase.CONNECTING;
-        startedNanos = now();
+        deadlines.connecting(now());
         if (expected != null && context.conditionTo(expected.zone()).cut()) {
             return; // the handshake timeout ends the attempt, as it would behind a real cut
         }
@@ -104,48 +95,39 @@
     void send(OutFrame frame) {
         offer(frame);
         if (phase == Phase.OPEN) {
-            lastUseNanos = now();
+            deadlines.used(now());
             flush();
         }
     }
 
     /** Closes the link if one of its deadlines has passed. */
     void sweep() {
-        TransportLimits limits = context.limits();
         long now = now();
         if (phase == Phase.CONNECTING || phase == Phase.GREETING) {
-            if (passed(startedNanos, limits.handshakeTimeout(), now)) {
+            if (deadlines.missedGreeting(now)) {
                 close(TransportFault.HANDSHAKE_TIMEOUT);
             }
-            return;
-        }
-        if (phase != Phase.OPEN) {
-            return;
+        } else if (phase == Phase.OPEN) {
+            sweepOpen(now);
         }
-        // The acceptor waits longer, so that a link is closed by one side only.
-        Duration idle =
-                target == null ? limits.idleTimeout().multipliedBy(2) : limits.idleTimeout();
-        if (decoder.isPartial() && passed(partialSinceNanos, limits.partialFrameTimeout(), now)) {
-            close(TransportFault.PARTIAL_FRAME_TIMEOUT);
+    }
+
+    private void sweepOpen(long now) {
+        Optional<TransportFault> missed = deadlines.missed(now);
+        if (missed.isPresent()) {
+            close(missed.get());
         } else if (writer.isStalled(now)) {
             close(TransportFault.WRITE_STALL);
-        } else if (writer.isEmpty() && passed(lastUseNanos, idle, now)) {
+        } else if (writer.isEmpty() && deadlines.isIdle(now)) {
             close(null);
         } else {
-            checkSilence(now);
+            if (deadlines.mustAsk(now)) {
+                offer(OutFrame.of(LinkCheck.CODEC, new LinkCheck(false)));
+            }
             flush();
         }
     }
 
-    private void checkSilence(long now) {
-        LinkSilence.Verdict verdict = silence.at(now);
-        if (verdict == LinkSilence.Verdict.ASK) {
-            offer(OutFrame.of(LinkCheck.CODEC, new LinkCheck(false)));
-        } else if (verdict == LinkSilence.Verdict.GONE) {
-            close(TransportFault.PEER_SILENT);
-        }
-    }
-
     private void offer(OutFrame frame) {
         if (!writer.offer(frame)) {
             close(TransportFault.QUEUE_FULL);
@@ -255,16 +237,15 @@
             return;
         }
         buffer.flip();
-        boolean wasPartial = decoder.isPartial();
+        deadlines.received(now());
+        boolean completed = false;
         byte[] frame = decoder.next(buffer);
         while (frame != null) {
-            wasPartial = false;
+            completed = true;
             receive(frame);
             frame = phase == Phase.CLOSED ? null : decoder.next(buffer);
         }
-        if (decoder.isPartial() && !wasPartial) {
-            partialSinceNanos = now();
-        }
+        deadlines.read(decoder.isPartial(), completed, now());
     }
 
     private void receive(byte[] frame) throws TransportException {
@@ -278,12 +259,11 @@
             }
             return;
         }
-        silence.received(now());
         if (decoded.isPresent() && decoded.get().message() instanceof LinkCheck check) {
             onCheck(check, frame.length);
             return;
         }
-        lastUseNanos = now();
+        deadlines.used(now());
         if (decoded.isEmpty() || peer == null) {
             context.counters().fault(TransportFault.UNKNOWN_TYPE);
             return;
@@ -315,8 +295,7 @@
         incarnation = hello.incarnation();
         countReceived("Hello", hello.peer(), bytes);
         phase = Phase.OPEN;
-        silence.received(now());
-        lastUseNanos = now();
+        deadlines.opened(now());
         decoder.allow(context.limits().maxFrameBytes());
         table.opened(this, hello);
         if (target == null) {
@@ -386,8 +365,4 @@
     private long now() {
         return context.clock().nanos();
     }
-
-    private static boolean passed(long sinceNanos, Duration limit, long now) {
-        return now - sinceNanos >= limit.toNanos();
-    }
 }
--- a/transport/src/main/java/dev/zinniaring/transport/LinkTable.java
+++ b/transport/src/main/java/dev/zinniaring/transport/LinkTable.java
@@ -200,9 +200,14 @@
             channel.close();
             return;
         }
-        channel.configureBlocking(false);
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        links.add(Link.accepted(context, this, channel));
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            links.add(Link.accepted(context, this, channel));
+        } catch (IOException e) {
+            log.debug("accepted link failed at once", e);
+            channel.close();
+        }
     }
 
     private void backOff(InetSocketAddress address) {
