Test the death of a third of a zone and measure across zones

Cause: The failure of a rack was not tested, and the time until other zones know of a crash was not measured.

Change: A simulated zone of 30 loses 10 nodes at once; the survivors are not suspected for good. DetectionTimes takes the number of zones.

--- a/membership/src/test/java/dev/zinniaring/membership/DetectionTimes.java
+++ b/membership/src/test/java/dev/zinniaring/membership/DetectionTimes.java
@@ -5,25 +5,27 @@
 import java.util.List;
 
 /**
- * Prints the simulated time until a whole zone knows of a crash.
+ * Prints the simulated time until all nodes of all zones know of a crash.
  *
  * <pre>{@code
- * DetectionTimes NODES SEEDS
+ * DetectionTimes ZONES NODES_PER_ZONE SEEDS
  * }</pre>
  */
 final class DetectionTimes {
     private DetectionTimes() {}
 
     public static void main(String[] arguments) {
-        int nodes = Integer.parseInt(arguments[0]);
-        int seeds = Integer.parseInt(arguments[1]);
+        int zones = Integer.parseInt(arguments[0]);
+        int nodes = Integer.parseInt(arguments[1]);
+        int seeds = Integer.parseInt(arguments[2]);
         List<Long> millis = new ArrayList<>();
         for (long seed = 1; seed <= seeds; seed++) {
-            millis.add(millisUntilKnown(nodes, seed));
+            millis.add(millisUntilKnown(zones, nodes, seed));
         }
         millis.sort(null);
         System.out.printf(
-                "nodes %d runs %d median_ms %d p95_ms %d max_ms %d%n",
+                "zones %d nodes a zone %d runs %d median_ms %d p95_ms %d max_ms %d%n",
+                zones,
                 nodes,
                 seeds,
                 millis.get(seeds / 2),
@@ -31,9 +33,9 @@
                 millis.get(seeds - 1));
     }
 
-    static long millisUntilKnown(int nodes, long seed) {
+    static long millisUntilKnown(int zones, int nodes, long seed) {
         SimMesh mesh = new SimMesh(seed);
-        mesh.start(1, nodes);
+        mesh.start(zones, nodes);
         mesh.run(Duration.ofSeconds(20));
         mesh.crash("n4", false);
         long start = mesh.clock.nanos();
--- a/membership/src/test/java/dev/zinniaring/membership/GossipSimulationTest.java
+++ b/membership/src/test/java/dev/zinniaring/membership/GossipSimulationTest.java
@@ -55,13 +55,30 @@
     void aCrashIsTypicallyKnownInItsZoneInThreeSeconds() {
         List<Long> millis = new ArrayList<>();
         for (long seed = 1; seed <= 100; seed++) {
-            millis.add(DetectionTimes.millisUntilKnown(10, seed));
+            millis.add(DetectionTimes.millisUntilKnown(1, 10, seed));
         }
         millis.sort(null);
         assertThat(millis.get(50)).isLessThanOrEqualTo(3_500);
         assertThat(millis.get(95)).isLessThanOrEqualTo(6_000);
     }
 
+    /** Guards against survivors that are blamed, or the dead that stay, when a rack fails. */
+    @Test
+    void theDeathOfAThirdOfAZoneLeavesTheOthersAlone() {
+        SimMesh mesh = new SimMesh(11);
+        mesh.start(1, 30);
+        mesh.run(Duration.ofSeconds(20));
+        for (int i = 10; i < 20; i++) {
+            mesh.crash("n" + i, false);
+        }
+        mesh.run(Duration.ofSeconds(15));
+        assertThat(disagreements(mesh)).isEmpty();
+        for (SimNode survivor : mesh.running()) {
+            Member seen = survivor.membership.view().self();
+            assertThat(seen.incarnation()).isEqualTo(survivor.incarnation());
+        }
+    }
+
     /** Guards against a partition that removes the members of the zone that is cut off. */
     @Test
     void onlyAZonesOwnMembersDeclareItsDeaths() {
