Drop tasks of an I/O thread that has ended

Cause: Networks that outlive a shared I/O thread kept queueing tasks for it.

Change: A closed loop takes no tasks; its selector is closed also when the thread ends by an Error.

Conclusion: Closing in the wrong order releases the sockets.

--- a/transport/src/main/java/dev/zinniaring/transport/IoLoop.java
+++ b/transport/src/main/java/dev/zinniaring/transport/IoLoop.java
@@ -59,8 +59,11 @@
         selector.wakeup();
     }
 
-    /** Runs a task on the loop's thread, after those given earlier. */
+    /** Runs a task on the loop's thread, after those given earlier; drops it once closed. */
     void execute(Runnable task) {
+        if (closed) {
+            return;
+        }
         tasks.add(task);
         if (!isCurrent()) {
             selector.wakeup();
@@ -99,15 +102,27 @@
     }
 
     private void run() {
-        while (!closed) {
-            try {
-                selector.select(IoLoop::handle);
-            } catch (IOException e) {
-                log.error("selector failed", e);
-                closed = true;
+        try {
+            while (!closed) {
+                select();
+                runTasks();
             }
-            runTasks();
+        } finally {
+            closed = true; // also after an Error, so that tasks do not pile up
+            closeSelector();
         }
+    }
+
+    private void select() {
+        try {
+            selector.select(IoLoop::handle);
+        } catch (IOException e) {
+            log.error("selector failed", e);
+            closed = true;
+        }
+    }
+
+    private void closeSelector() {
         try {
             selector.close();
         } catch (IOException e) {
--- a/transport/src/test/java/dev/zinniaring/transport/TcpNetworkTest.java
+++ b/transport/src/test/java/dev/zinniaring/transport/TcpNetworkTest.java
@@ -209,6 +209,30 @@
                 .hasMessageContaining("has space");
     }
 
+    /** Guards against sockets or waits left behind when the shared thread ends first. */
+    @Test
+    void closesAfterItsSharedThreadHasEnded() throws Exception {
+        Node a = networks.start("a", "z1", 1);
+        InetSocketAddress address = a.peer().controlAddress();
+        networks.loop.close();
+        a.network().send(new Peer("b", "z1", address), Note.of(1));
+        a.network().close();
+        try (IoLoop another = IoLoop.open("another")) {
+            boolean bound =
+                    TestNetworks.eventually(
+                            () -> {
+                                try {
+                                    networks.start(
+                                            "a", "z1", 2, x -> x.bind(address).loop(another));
+                                    return true;
+                                } catch (TransportException e) {
+                                    return false;
+                                }
+                            });
+            assertThat(bound).isTrue();
+        }
+    }
+
     @Test
     void rejectsTwoCodecsOfOneType() throws Exception {
         Node a = networks.start("a", "z1", 1);
