--- a/routing/src/main/java/dev/zinniaring/routing/LeastLoadedBalancer.java
+++ b/routing/src/main/java/dev/zinniaring/routing/LeastLoadedBalancer.java
@@ -2,12 +2,14 @@
 
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.EndpointState;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -25,6 +27,7 @@
     private static final int DRAWS = 8;
     private static final int NONE = -1;
     private static final double LEAST_WARMTH = 0.1;
+    private static final long LEARNING_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final Clock clock;
     private final RandomGenerator random;
@@ -32,11 +35,15 @@
     private final OutlierDetector detector;
     private final ConcurrentMap<String, ServerStats> servers = new ConcurrentHashMap<>();
 
+    /** Servers first seen before this reading ran before this node did. */
+    private final long learnedNanos;
+
     private LeastLoadedBalancer(Builder builder) {
         this.clock = builder.clock;
         this.random = builder.random;
         this.outliers = new Outliers(builder.clock, builder.avoid, builder.eject);
         this.detector = new OutlierDetector(builder.clock, outliers);
+        this.learnedNanos = clock.nanos() + LEARNING_NANOS;
     }
 
     /** Returns a builder. */
@@ -130,37 +137,62 @@
         return score(one, nowNanos) <= score(other, nowNanos) ? one : other;
     }
 
+    private int draw(
+            List<EndpointRecord> endpoints, Set<String> excluded, int taken, long nowNanos) {
+        int index = draw(endpoints, excluded, taken, LEAST_WARMTH, nowNanos);
+        // With most servers warming up, load is a better guide than warmth.
+        return index == NONE ? draw(endpoints, excluded, taken, 1, nowNanos) : index;
+    }
+
     /** Returns the load that a server would have with this call. */
     private double score(EndpointRecord endpoint, long nowNanos) {
         ServerStats stats = stats(endpoint.serverId());
         return (stats.load(nowNanos) + 1) / stats.capacity(endpoint.slots());
     }
 
-    /** Returns the index of a random endpoint that may be chosen, other than {@code taken}. */
+    /**
+     * Returns the index of a random endpoint that may be chosen.
+     *
+     * @param taken index that is not to be returned
+     * @param leastWarmth probability to accept a server that has only just started
+     */
     private int draw(
-            List<EndpointRecord> endpoints, Set<String> excluded, int taken, long nowNanos) {
+            List<EndpointRecord> endpoints,
+            Set<String> excluded,
+            int taken,
+            double leastWarmth,
+            long nowNanos) {
         int size = endpoints.size();
         int others = taken == NONE ? size : size - 1;
         for (int attempt = 0; attempt < DRAWS && others > 0; attempt++) {
             int offset = random.nextInt(others);
             int index = taken == NONE ? offset : (taken + 1 + offset) % size;
             EndpointRecord endpoint = endpoints.get(index);
-            if (!excluded.contains(endpoint.serverId()) && accepts(endpoint, nowNanos)) {
+            if (!excluded.contains(endpoint.serverId())
+                    && accepts(endpoint, leastWarmth, nowNanos)) {
                 return index;
             }
         }
         return NONE;
     }
 
-    private boolean accepts(EndpointRecord endpoint, long nowNanos) {
+    private boolean accepts(EndpointRecord endpoint, double leastWarmth, long nowNanos) {
         if (!fit(endpoint)) {
             return false;
         }
-        double warmth =
-                stats(endpoint.serverId()).warmth(endpoint.warmUpMillis(), LEAST_WARMTH, nowNanos);
+        double warmth = Math.max(leastWarmth, warmth(endpoint, nowNanos));
         return warmth >= 1 || random.nextDouble() < warmth;
     }
 
+    private double warmth(EndpointRecord endpoint, long nowNanos) {
+        if (endpoint.warmUpMillis() <= 0) {
+            return 1;
+        }
+        ServerStats stats = stats(endpoint.serverId());
+        boolean known = endpoint.state() == EndpointState.READY && stats.seenBefore(learnedNanos);
+        return known ? 1 : stats.warmth(endpoint.warmUpMillis(), nowNanos);
+    }
+
     private boolean fit(EndpointRecord endpoint) {
         if (outliers.none()) {
             return true;
--- a/routing/src/main/java/dev/zinniaring/routing/ServerStats.java
+++ b/routing/src/main/java/dev/zinniaring/routing/ServerStats.java
@@ -63,14 +63,14 @@
         return present == null ? Math.max(1, slots) : Math.min(present.limit(), Math.max(1, slots));
     }
 
-    /** Returns the share that a server gets while it warms up, from {@code least} to 1. */
-    double warmth(int warmUpMillis, double least, long nowNanos) {
-        if (warmUpMillis <= 0) {
-            return 1;
-        }
+    boolean seenBefore(long nanos) {
+        return firstSeenNanos - nanos < 0;
+    }
+
+    /** Returns the share that a server gets while it warms up, from 0 to 1. */
+    double warmth(int warmUpMillis, long nowNanos) {
         double age = nowNanos - firstSeenNanos;
-        double share = age / TimeUnit.MILLISECONDS.toNanos(warmUpMillis);
-        return Math.max(least, Math.min(1, share));
+        return Math.min(1, age / TimeUnit.MILLISECONDS.toNanos(warmUpMillis));
     }
 
     void latency(long nanos) {
--- a/routing/src/test/java/dev/zinniaring/routing/LeastLoadedBalancerTest.java
+++ b/routing/src/test/java/dev/zinniaring/routing/LeastLoadedBalancerTest.java
@@ -88,6 +88,26 @@
         assertThat(choices(pool, "z1").getOrDefault("c", 0)).isBetween(least, most);
     }
 
+    @Test
+    void aServerSeenLaterWarmsUpEvenIfItIsReadyAndOneSeenAtTheStartDoesNot() {
+        EndpointRecord early = server("a", "z1", EndpointState.READY, 10_000, 1);
+        EndpointRecord late = server("b", "z1", EndpointState.READY, 10_000, 1);
+        balancer.retain(Set.of("a"));
+        clock.advance(Duration.ofMinutes(1));
+        // Shares of 0.1/1.1 and 1/1.1 are 91 and 909 calls.
+        assertThat(choices(pool(early, late), "z1").get("b")).isBetween(50, 140);
+    }
+
+    @Test
+    void aPoolOfWarmingServersIsBalancedByLoad() {
+        PoolEndpoints pool =
+                pool(
+                        server("a", "z1", EndpointState.WARMING, 10_000, 1),
+                        server("b", "z1", EndpointState.WARMING, 10_000, 1));
+        balancer.started("a");
+        assertThat(choices(pool, "z1")).containsOnlyKeys("b");
+    }
+
     @Test
     void oneConnectFailureMakesAServerAvoidedForASecond() {
         PoolEndpoints pool = pool(server("a", "z1"), server("b", "z1"));
