Measure the compilation of a routing table

Cause: the table is compiled anew after each change of the endpoints. Change: a benchmark with 190 services, 760 routes and 2,200 backend servers.

--- a/bench/src/main/java/dev/zinniaring/bench/RouteMatchJmh.java
+++ b/bench/src/main/java/dev/zinniaring/bench/RouteMatchJmh.java
@@ -1,6 +1,8 @@
 package dev.zinniaring.bench;
 
 import dev.zinniaring.model.BalancePolicy;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.EndpointState;
 import dev.zinniaring.model.Pool;
 import dev.zinniaring.model.Rank;
 import dev.zinniaring.model.Route;
@@ -34,6 +36,9 @@
 @Measurement(iterations = 3, time = 1)
 public class RouteMatchJmh {
     private static final int SERVICES = 190;
+    private static final int SERVERS = 2_200;
+    private static final Version VERSION = version();
+    private static final List<EndpointRecord> ENDPOINTS = endpoints();
 
     private RoutingTable table = tableOrFail();
 
@@ -55,7 +60,46 @@
         return table.match("mesh.example", "/unknown/items", "GET");
     }
 
+    /** Compiling the whole table after a change of the endpoints of 2,200 backend servers. */
+    @Benchmark
+    @OutputTimeUnit(TimeUnit.MICROSECONDS)
+    public RoutingTable compileTable() {
+        return compileOrFail(VERSION, ENDPOINTS);
+    }
+
     private static RoutingTable tableOrFail() {
+        return compileOrFail(VERSION, List.of());
+    }
+
+    private static RoutingTable compileOrFail(Version version, List<EndpointRecord> endpoints) {
+        try {
+            return RoutingTable.compile(version, endpoints);
+        } catch (RoutingException e) {
+            throw new IllegalStateException("benchmark table does not compile", e);
+        }
+    }
+
+    private static List<EndpointRecord> endpoints() {
+        List<EndpointRecord> endpoints = new ArrayList<>();
+        for (int server = 0; server < SERVERS; server++) {
+            endpoints.add(
+                    new EndpointRecord(
+                            "server-" + server,
+                            "service-" + server % SERVICES,
+                            "node-" + server,
+                            "zone-" + server % 7,
+                            "127.0.0.1:1",
+                            1,
+                            1,
+                            18,
+                            120,
+                            EndpointState.READY,
+                            0));
+        }
+        return endpoints;
+    }
+
+    private static Version version() {
         List<Route> routes = new ArrayList<>();
         List<Pool> pools = new ArrayList<>();
         for (int service = 0; service < SERVICES; service++) {
@@ -67,11 +111,7 @@
             routes.add(route(name + "-post", "/" + name + "/items", name, List.of("POST")));
         }
         Tables tables = Tables.of(List.of(new Rank("normal", 0, 1, 0)), routes, pools);
-        try {
-            return RoutingTable.compile(new Version(1, "0", tables), List.of());
-        } catch (RoutingException e) {
-            throw new IllegalStateException("benchmark table does not compile", e);
-        }
+        return new Version(1, "0", tables);
     }
 
     private static Route route(String name, String prefix, String pool, List<String> methods) {
