Plan less than the likely time for calls with a tight deadline

Cause: a rank whose deadline lies between the mean and the likely service time was shed whenever a queue had formed, however short. Change: the planned time falls to the mean as the time allowed to a call falls to it; a test that the limit stays near the slots with exponential service times. Conclusion: such calls wait if the queue leaves them time.

--- a/admission/src/main/java/dev/zinniaring/admission/Dispatch.java
+++ b/admission/src/main/java/dev/zinniaring/admission/Dispatch.java
@@ -91,7 +91,7 @@
             return;
         }
         credit.asked(call.rank, nowNanos);
-        long serviceNanos = times.likelyNanos(call.rank, nowNanos);
+        long serviceNanos = plannedNanos(call);
         long leftNanos = call.deadlineNanos - nowNanos;
         if (expectedWaitNanos(call.rank) + serviceNanos > leftNanos) {
             decisions.shed(call, ShedReason.DEADLINE, serviceNanos <= leftNanos);
@@ -158,7 +158,7 @@
         if (draining) {
             return ShedReason.DRAINING;
         }
-        long serviceNanos = times.likelyNanos(call.rank, nowNanos);
+        long serviceNanos = plannedNanos(call);
         if (call.deadlineNanos - nowNanos <= serviceNanos) {
             return ShedReason.DEADLINE;
         }
@@ -169,6 +169,11 @@
         return null;
     }
 
+    private long plannedNanos(Waiting call) {
+        long allowedNanos = call.deadlineNanos - call.arrivedNanos;
+        return times.plannedNanos(call.rank, allowedNanos, nowNanos);
+    }
+
     private long expectedWaitNanos(int rank) {
         long nextSlotNanos = times.meanNanos(rank) / decisions.limit();
         long aheadNanos = 0;
--- a/admission/src/main/java/dev/zinniaring/admission/ServiceTimes.java
+++ b/admission/src/main/java/dev/zinniaring/admission/ServiceTimes.java
@@ -61,15 +61,20 @@
     }
 
     /**
-     * Returns the time that nearly every call of the rank stays within, 0 if nothing is known. An
-     * estimate without new samples halves each second: otherwise one that is too high would shed
-     * the very calls that could correct it.
+     * Returns the time to plan for a call of the rank, 0 if nothing is known: what nearly every
+     * call stays within, but less, down to the mean, for a call that never had that much time.
+     *
+     * <p>An estimate without new samples halves each second: otherwise one that is too high would
+     * shed the very calls that could correct it.
+     *
+     * @param allowedNanos time between the call's arrival and its deadline
      */
-    long likelyNanos(int rank, long nowNanos) {
+    long plannedNanos(int rank, long allowedNanos, long nowNanos) {
         long idleNanos = Math.max(0, nowNanos - sampledAtNanos.get(rank));
         long halvings = Math.min(MAX_HALVINGS, idleNanos / HALF_LIFE_NANOS);
-        long likelyNanos = meanNanos.get(rank) + DEVIATIONS * deviationNanos.get(rank);
-        return likelyNanos >> halvings;
+        long mean = meanNanos.get(rank) >> halvings;
+        long likely = mean + (DEVIATIONS * deviationNanos.get(rank) >> halvings);
+        return Math.max(mean, Math.min(likely, (mean + allowedNanos) / 2));
     }
 
     /** Returns the mean time of a call of the rank, above 0 even if nothing is known. */
--- a/admission/src/test/java/dev/zinniaring/admission/GradientLimitTest.java
+++ b/admission/src/test/java/dev/zinniaring/admission/GradientLimitTest.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.SplittableRandom;
 import java.util.function.DoubleUnaryOperator;
+import java.util.function.ToDoubleFunction;
 import org.junit.jupiter.api.Test;
 
 class GradientLimitTest {
@@ -23,6 +24,16 @@
         assertThat(limit.value()).isGreaterThanOrEqualTo(SLOTS - 2);
     }
 
+    @Test
+    void staysNearTheSlotsWhenLatencyVariesALot() {
+        int least = SLOTS;
+        for (int second = 0; second < 120; second++) {
+            run(1, concurrency -> SERVICE_MILLIS, GradientLimitTest::exponential);
+            least = Math.min(least, limit.value());
+        }
+        assertThat(least).isGreaterThanOrEqualTo(SLOTS * 8 / 10);
+    }
+
     @Test
     void findsTheConcurrencyOfAServerThatDeclaresTooManySlots() {
         limit.resize(4);
@@ -49,14 +60,25 @@
         assertThat(limit.value()).isEqualTo(1);
     }
 
+    private static double exponential(SplittableRandom random) {
+        return -Math.log(1 - random.nextDouble());
+    }
+
     /** Keeps the limit in use, so that the latency follows from it. */
     private void run(int seconds, DoubleUnaryOperator latencyMillis) {
+        run(seconds, latencyMillis, random -> 0.5 + random.nextDouble());
+    }
+
+    private void run(
+            int seconds,
+            DoubleUnaryOperator latencyMillis,
+            ToDoubleFunction<SplittableRandom> spread) {
         long endNanos = clock.nanos() + Duration.ofSeconds(seconds).toNanos();
         while (clock.nanos() < endNanos) {
             int concurrency = limit.value();
             double millis = latencyMillis.applyAsDouble(concurrency);
             for (int call = 0; call < concurrency; call++) {
-                long latencyNanos = (long) (millis * 1e6 * (0.5 + random.nextDouble()));
+                long latencyNanos = (long) (millis * 1e6 * spread.applyAsDouble(random));
                 limit.completed(call % 2, latencyNanos, clock.nanos());
             }
             clock.advance(Duration.ofNanos((long) (millis * 1e6)));
--- a/admission/src/test/java/dev/zinniaring/admission/RankedAdmissionTest.java
+++ b/admission/src/test/java/dev/zinniaring/admission/RankedAdmissionTest.java
@@ -100,6 +100,21 @@
         assertThat(probe.decisions).endsWith("queued DEADLINE");
     }
 
+    @Test
+    void aCallWhoseDeadlineLiesBetweenTheMeanAndTheLikelyTimeMayStillWait() {
+        AdmissionProbe probe = new AdmissionProbe(builder().slots(4).build());
+        for (int call = 0; call < 20; call++) {
+            probe.admit("measured" + call, 0, FAR_NANOS);
+            probe.release(call % 2 == 0 ? SERVICE_NANOS / 2 : 3 * SERVICE_NANOS / 2);
+        }
+        for (int call = 0; call < 4; call++) {
+            probe.admit("running" + call, 0, FAR_NANOS);
+        }
+        probe.admit("tight", 0, clock.nanos() + 19 * SERVICE_NANOS / 10);
+        probe.release(SERVICE_NANOS);
+        assertThat(probe.decisions).endsWith("tight granted");
+    }
+
     @Test
     void anEstimateThatIsTooHighDoesNotShedForEver() {
         AdmissionProbe probe = new AdmissionProbe(builder().build());
