--- a/admission/src/main/java/dev/zinniaring/admission/ServiceTimes.java
+++ b/admission/src/main/java/dev/zinniaring/admission/ServiceTimes.java
@@ -73,7 +73,7 @@
         long idleNanos = Math.max(0, nowNanos - sampledAtNanos.get(rank));
         long halvings = Math.min(MAX_HALVINGS, idleNanos / HALF_LIFE_NANOS);
         long mean = meanNanos.get(rank) >> halvings;
-        long likely = mean + (DEVIATIONS * deviationNanos.get(rank) >> halvings);
+        long likely = mean + ((DEVIATIONS * deviationNanos.get(rank)) >> halvings);
         return Math.max(mean, Math.min(likely, (mean + allowedNanos) / 2));
     }
 
