--- a/distribution/src/test/java/dev/zinniaring/distribution/SimMesh.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimMesh.java
@@ -109,6 +109,14 @@
         return peers.stream().filter(p -> p.nodeId().equals(nodeId)).findFirst().orElseThrow();
     }
 
+    String readerOf(String zone) {
+        return nodes.values().stream()
+                .filter(node -> node.peer.zone().equals(zone) && node.view().isReader())
+                .map(node -> node.peer.nodeId())
+                .findFirst()
+                .orElseThrow();
+    }
+
     void cut(String zone, String other) {
         cutPairs.add(Set.of(zone, other));
     }
--- a/distribution/src/test/java/dev/zinniaring/distribution/SimPlatform.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimPlatform.java
@@ -6,19 +6,19 @@
 import dev.zinniaring.publish.PublishException;
 import dev.zinniaring.publish.VersionSource;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** The accepted versions of a simulated mesh; zones can be cut off from it. */
 final class SimPlatform {
-    private final List<Head> heads = new ArrayList<>();
-    private final Map<String, byte[]> bodies = new HashMap<>();
+    private final List<Head> heads = new CopyOnWriteArrayList<>();
+    private final Map<String, byte[]> bodies = new ConcurrentHashMap<>();
     private final Map<String, Long> marks = new TreeMap<>();
     final Set<String> cutZones = new HashSet<>();
     long reads;
--- a/distribution/src/test/java/dev/zinniaring/distribution/VersionDistributionTest.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/VersionDistributionTest.java
@@ -84,6 +84,43 @@
         assertAllInForce(mesh, 2);
     }
 
+    // Guards against a floor below what a node had in force before it told anyone and died.
+    @Test
+    void nodeThatDiedWithANewerVersionThanItsPeersWaitsForThatVersion() {
+        SimMesh mesh = started(3, 4);
+        String reader = mesh.readerOf("zone0");
+        assertThat(mesh.seeds).doesNotContain(mesh.peer(reader).controlAddress());
+        mesh.cut("zone2", "zone0");
+        mesh.cut("zone2", "zone1");
+        mesh.platform.cutZones.addAll(List.of("zone1", "zone2"));
+        mesh.crashNextActivation = true;
+        mesh.platform.publish(SimTables.of(500, 2));
+        while (mesh.nodes.containsKey(reader)) {
+            mesh.advance(Duration.ofMillis(1));
+        }
+        mesh.platform.cutZones.add("zone0");
+        mesh.cutPairs.clear();
+        mesh.advance(Duration.ofSeconds(20));
+        assertThat(mesh.node(reader).versions.state())
+                .extracting(VersionStatus::number, VersionStatus::floor)
+                .containsExactly(0L, 2L);
+        mesh.heal();
+        mesh.advance(Duration.ofSeconds(5));
+        assertAllInForce(mesh, 2);
+    }
+
+    // Guards against a seed's answer to an earlier life, which may be below what was in force.
+    @Test
+    void answerToAnEarlierLifeOfTheNodeIsIgnored() {
+        SimMesh mesh = new SimMesh(1, 1, 2, 1);
+        mesh.platform.cutZones.add("zone0");
+        mesh.start("n0-1");
+        SimNode seed = new SimNode(mesh, mesh.peer("n0-0"), 1);
+        seed.send(mesh.peer("n0-1"), new MarkReply(12_345, 0, true));
+        mesh.advance(Duration.ofSeconds(1));
+        assertThat(mesh.node("n0-1").versions.state().floor()).isEqualTo(-1);
+    }
+
     // Guards against control traffic that grows with the fleet while nothing changes.
     @Test
     void idleTrafficOfANodeDoesNotGrowWithTheFleet() {
