Test that a pause does not expire suspicions

Cause: The simulation passed also without the detection of pauses.

Change: A process is paused while it suspects a live member. The test fails if the pause is not noticed (tried on a scratch copy).

Conclusion: The detection of pauses is guarded.

--- a/membership/src/test/java/dev/zinniaring/membership/GossipSimulationTest.java
+++ b/membership/src/test/java/dev/zinniaring/membership/GossipSimulationTest.java
@@ -149,6 +149,32 @@
         assertThat(rejoined.incarnation()).isGreaterThan(paused.incarnation());
     }
 
+    /** Guards against a resumed process that blames others for the time in which it did not run. */
+    @Test
+    void aSuspicionDoesNotExpireWhileTheProcessIsPaused() {
+        SimMesh mesh = new SimMesh(12);
+        mesh.start(1, 6);
+        mesh.run(Duration.ofSeconds(10));
+        SimNode paused = mesh.nodes.get("n2");
+        SimNode teller = mesh.nodes.get("n1");
+        long life = teller.incarnation();
+        Member suspect = teller.membership.view().member("n3").orElseThrow();
+        paused.receive(
+                teller.self(),
+                new Messages.MemberUpdate(
+                        new Messages.Sender(life, life),
+                        List.of(suspect.with(MemberState.SUSPECT))));
+        paused.pause();
+        List<MemberState> seen = new ArrayList<>();
+        paused.membership.subscribe(
+                (before, after) -> seen.add(after.member("n3").orElseThrow().state()));
+        mesh.run(Duration.ofSeconds(30));
+        paused.resume();
+        mesh.run(Duration.ofSeconds(20));
+        assertThat(seen).contains(MemberState.SUSPECT).doesNotContain(MemberState.DEAD);
+        assertThat(disagreements(mesh)).isEmpty();
+    }
+
     /** Guards against a process that is kept out because its VM's clock was set back. */
     @Test
     void aProcessWhoseClockSteppedBackIsTakenIn() {
