Measure floods by rank, retry amplification and load balancing

Cause: The bench had no experiment for the call path under overload, for a failing pool at the end of a chain, or for pools with bad servers. Change: rank-flood, retry-amplification and balance run whole nodes against fake backend servers, with a baseline from the same run. CallMesh takes a retry policy and closes servers and nodes in parallel.

--- a/bench/src/main/java/dev/zinniaring/bench/CallMesh.java
+++ b/bench/src/main/java/dev/zinniaring/bench/CallMesh.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.bench;
 
+import dev.zinniaring.admission.RetryPolicy;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.model.Tables;
@@ -46,6 +47,7 @@
     private final List<InetSocketAddress> seeds = new ArrayList<>();
     private final long seed;
     private @Nullable AdmissionFactory admissions;
+    private @Nullable RetryPolicy retryPolicy;
 
     private CallMesh(long seed) {
         this.seed = seed;
@@ -62,6 +64,12 @@
         return this;
     }
 
+    /** Sets what decides on the retries of nodes that are added from now on. */
+    CallMesh retryPolicy(RetryPolicy policy) {
+        retryPolicy = policy;
+        return this;
+    }
+
     /** Starts a node in an availability zone. */
     Node addNode(String nodeId, String zone) throws ExperimentException {
         NodeSettings settings =
@@ -74,6 +82,9 @@
         if (admissions != null) {
             builder.admissions(admissions);
         }
+        if (retryPolicy != null) {
+            builder.retryPolicy(retryPolicy);
+        }
         try {
             Node node = builder.build();
             node.start();
@@ -154,7 +165,7 @@
 
     @Override
     public void close() {
-        nodes.forEach(Node::close);
-        servers.forEach(BackendServer::close);
+        servers.parallelStream().forEach(BackendServer::close);
+        nodes.parallelStream().forEach(Node::close);
     }
 }
--- a/bench/src/main/java/dev/zinniaring/bench/Experiments.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -10,7 +10,10 @@
                     new AddedLatencyExperiment(),
                     new ConvergenceExperiment(),
                     new RestartStormExperiment(),
-                    new ScaleSlopesExperiment());
+                    new ScaleSlopesExperiment(),
+                    new RankFloodExperiment(),
+                    new RetryAmplificationExperiment(),
+                    new BalanceExperiment());
 
     private Experiments() {}
 
--- a/bench/src/main/java/dev/zinniaring/bench/Figures.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Figures.java
@@ -51,6 +51,18 @@
         return largest;
     }
 
+    /** Returns the smallest value of each field, for fields where less is worse. */
+    static Figures smallest(List<Figures> all) {
+        Figures smallest = none();
+        for (Figures figures : all) {
+            figures.values.forEach(
+                    (name, value) ->
+                            smallest.values.merge(
+                                    name, value, (a, b) -> larger(a, b) == a ? b : a));
+        }
+        return smallest;
+    }
+
     private static Object larger(Object a, Object b) {
         if (a instanceof Number x && b instanceof Number y) {
             return x.doubleValue() >= y.doubleValue() ? a : b;
