Warm up rank-flood for longer

Cause: The first load met a JVM that had hardly warmed up. Change: The load before the calm window lasts 1.5 s instead of 0.5 s.

--- a/bench/src/main/java/dev/zinniaring/bench/RankFloodExperiment.java
+++ b/bench/src/main/java/dev/zinniaring/bench/RankFloodExperiment.java
@@ -33,7 +33,7 @@
     private static final double CAPACITY_PER_SECOND = 240;
 
     private static final double SIGMA = 0.3;
-    private static final Duration WARM_UP = Duration.ofMillis(500);
+    private static final Duration WARM_UP = Duration.ofMillis(1_500);
     private static final Duration CALM = Duration.ofMillis(2_000);
     private static final Duration FLOOD = Duration.ofMillis(1_500);
     private static final int QUEUED = 100;
