--- a/admission/src/main/java/dev/zinniaring/admission/CrashGuard.java
+++ b/admission/src/main/java/dev/zinniaring/admission/CrashGuard.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,9 +28,6 @@
  * apart from each other, so that the innocent ones complete and a third crash names the other.
  */
 public final class CrashGuard {
-    private static final int MIN_CRASHES = 2;
-    private static final int CERTAIN_CRASHES = 3;
-
     /** A server's crash is noticed at most this long after its connections broke. */
     private static final long BROKEN_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -37,7 +35,7 @@
     public enum Verdict {
         /** It may run. */
         RUN,
-        /** It may run, if possible at a backend server where no other suspect is in flight. */
+        /** It may run, where {@link #sharedCrashes} is least. */
         RUN_APART,
         /** It must not run. */
         HOLD
@@ -60,6 +58,7 @@
 
     private final Clock clock;
     private final String nodeId;
+    private final HoldRule rule;
     private final long ttlNanos;
     private final int maxSuspects;
     private final InFlight inFlight = new InFlight(BROKEN_MEMORY_NANOS);
@@ -70,6 +69,7 @@
     private CrashGuard(Builder builder) {
         this.clock = builder.clock;
         this.nodeId = builder.nodeId;
+        this.rule = builder.rule;
         this.ttlNanos = builder.ttl.toNanos();
         this.maxSuspects = builder.maxSuspects;
         // Starts at the wall clock, so that crashes of an earlier life of the node differ.
@@ -91,11 +91,7 @@
         if (active.isEmpty()) {
             return Verdict.RUN;
         }
-        if (active.size() >= CERTAIN_CRASHES) {
-            return Verdict.HOLD;
-        }
-        boolean held = active.size() >= MIN_CRASHES && !sharedByOther(fingerprint, active);
-        return held ? Verdict.HOLD : Verdict.RUN_APART;
+        return rule.verdict(active.size(), () -> sharedByOther(fingerprint, active));
     }
 
     /** Notes that a call is sent to a backend server. */
@@ -135,17 +131,34 @@
         revision.incrementAndGet();
     }
 
-    /** Returns whether a suspect other than {@code fingerprint} is in flight at the server. */
-    public boolean suspectInFlight(String serverId, long fingerprint) {
-        if (suspects.isEmpty()) {
-            return false;
+    /**
+     * Returns how many crashes a request shares with the most similar other suspect in flight at a
+     * backend server. A request to be run apart goes where this is least: run together once more,
+     * the two could not be told apart.
+     */
+    public int sharedCrashes(String serverId, long fingerprint) {
+        Suspicion suspicion = suspects.get(fingerprint);
+        if (suspicion == null) {
+            return 0;
         }
+        Set<String> active = suspicion.active();
+        int most = 0;
         for (long other : inFlight.fingerprints(serverId)) {
-            if (other != fingerprint && verdict(other) != Verdict.RUN) {
-                return true;
+            Suspicion otherSuspicion = suspects.get(other);
+            if (other != fingerprint && otherSuspicion != null) {
+                Set<String> shared = new HashSet<>(otherSuspicion.active());
+                shared.retainAll(active);
+                most = Math.max(most, shared.size());
             }
         }
-        return false;
+        return most;
+    }
+
+    /**
+     * Returns whether another call in flight at a backend server is a suspect of the same crash.
+     */
+    public boolean suspectInFlight(String serverId, long fingerprint) {
+        return sharedCrashes(serverId, fingerprint) > 0;
     }
 
     /** Returns a number that changes when there is something new to spread. */
@@ -247,6 +260,7 @@
     public static final class Builder {
         private Clock clock = Clock.system();
         private String nodeId = "node";
+        private HoldRule rule = HoldRule.withEvidence();
         private Duration ttl = Duration.ofMinutes(10);
         private int maxSuspects = 10_000;
 
@@ -264,6 +278,12 @@
             return this;
         }
 
+        /** Sets when a request is held; with evidence by default. */
+        public Builder rule(HoldRule value) {
+            this.rule = value;
+            return this;
+        }
+
         /** Sets how long a suspect is remembered after its last crash; 10 minutes by default. */
         public Builder ttl(Duration value) {
             this.ttl = value;
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.distribution;
 
 import dev.zinniaring.kernel.Scheduler.Cancellable;
+import dev.zinniaring.membership.MemberView;
 import dev.zinniaring.model.Version;
 import dev.zinniaring.publish.VersionSource;
 import dev.zinniaring.transport.Peer;
@@ -27,6 +28,7 @@
     private final VersionState state;
     private final Consumer<Version> listener;
     private final HeadReader reader;
+    private final PollPlan polls;
     private final FloorFinder floors;
     private final Recorder recorder;
     private final VersionSpread spread;
@@ -51,7 +53,15 @@
         bodyBackoff = new Backoff(context.timings().bodyAfter(), MAX_BODY_READ, context.random());
         spread = new VersionSpread(context, state, this::accepted);
         recorder = new Recorder(context, seeds, desk, source, executor, spread::recordedHere);
-        reader = new HeadReader(source, executor, context.mailbox(), state, new Found());
+        reader =
+                new HeadReader(
+                        source,
+                        executor,
+                        context.mailbox(),
+                        state,
+                        new Found(),
+                        BodyReader.deltaFirst());
+        polls = new PollPlan(context.clock(), context.timings());
         floors = new FloorFinder(context, seeds, desk, reader, this::floorFound);
     }
 
@@ -96,6 +106,11 @@
     }
 
     void onPush(Peer from, VersionPush push) {
+        // A push of what this reader has just found itself shows as well that others bring
+        // versions.
+        if (push.number() >= state.now().heldNumber()) {
+            polls.sent();
+        }
         spread.onPush(from, push);
     }
 
@@ -129,16 +144,17 @@
     }
 
     private void poll() {
-        boolean isReader = running && context.view().isReader();
-        if (!isReader) {
+        MemberView view = context.view();
+        if (!running || !view.isReader()) {
             readerSinceNanos = OptionalLong.empty();
             return;
         }
         long since = readerSinceNanos.orElse(context.clock().nanos());
         readerSinceNanos = OptionalLong.of(since);
-        if (desk.isSoleSeed() || context.clock().since(since).compareTo(READER_SETTLES) >= 0) {
+        boolean settled =
+                desk.isSoleSeed() || context.clock().since(since).compareTo(READER_SETTLES) >= 0;
+        if (settled && polls.due(PollPlan.isPreferred(view))) {
             reader.readVersion();
-            recorder.publishRecorded(state.now().heldNumber());
         }
     }
 
@@ -184,6 +200,20 @@
         listener.accept(version);
     }
 
+    /** Records a version that another zone's reader should have pushed by now. */
+    private void recordIfMissed(HeldVersion version) {
+        if (version.number() > state.now().heldNumber()) {
+            polls.missed();
+            record(version);
+        }
+    }
+
+    private void record(HeldVersion version) {
+        if (running && version.number() > state.now().heldNumber()) {
+            recorder.record(version);
+        }
+    }
+
     /** Takes what was read from the platform. */
     private final class Found implements HeadReader.Listener {
         @Override
@@ -193,8 +223,11 @@
 
         @Override
         public void found(HeldVersion version) {
-            if (running && version.number() > state.now().heldNumber()) {
-                recorder.record(version);
+            Duration patience = polls.patience(PollPlan.isPreferred(context.view()));
+            if (patience.isZero()) {
+                record(version);
+            } else {
+                context.after(patience, () -> recordIfMissed(version));
             }
         }
     }
--- a/transport/src/main/java/dev/zinniaring/transport/Link.java
+++ b/transport/src/main/java/dev/zinniaring/transport/Link.java
@@ -6,7 +6,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -22,15 +21,13 @@
     private final @Nullable InetSocketAddress target;
     private final FrameDecoder decoder;
     private final LinkWriter writer;
+    private final LinkDeadlines deadlines;
     private Phase phase;
     private @Nullable Peer expected;
     private @Nullable SocketChannel channel;
     private @Nullable SelectionKey key;
     private @Nullable Peer peer;
     private long incarnation;
-    private long startedNanos;
-    private long lastUseNanos;
-    private long partialSinceNanos;
 
     /** The life of a link. */
     enum Phase {
@@ -53,7 +50,7 @@
         this.decoder = new FrameDecoder(MAX_GREETING_BYTES);
         this.writer = new LinkWriter(context, this::flush);
         this.phase = Phase.WAITING;
-        this.startedNanos = now();
+        this.deadlines = new LinkDeadlines(context.limits(), target == null, now());
     }
 
     static Link to(
@@ -79,7 +76,7 @@
             return;
         }
         phase = Phase.CONNECTING;
-        startedNanos = now();
+        deadlines.connecting(now());
         if (expected != null && context.conditionTo(expected.zone()).cut()) {
             return; // the handshake timeout ends the attempt, as it would behind a real cut
         }
@@ -96,41 +93,47 @@
     }
 
     void send(OutFrame frame) {
-        if (!writer.offer(frame)) {
-            close(TransportFault.QUEUE_FULL);
-        } else if (phase == Phase.OPEN) {
-            lastUseNanos = now();
+        offer(frame);
+        if (phase == Phase.OPEN) {
+            deadlines.used(now());
             flush();
         }
     }
 
     /** Closes the link if one of its deadlines has passed. */
     void sweep() {
-        TransportLimits limits = context.limits();
         long now = now();
         if (phase == Phase.CONNECTING || phase == Phase.GREETING) {
-            if (passed(startedNanos, limits.handshakeTimeout(), now)) {
+            if (deadlines.missedGreeting(now)) {
                 close(TransportFault.HANDSHAKE_TIMEOUT);
             }
-            return;
-        }
-        if (phase != Phase.OPEN) {
-            return;
+        } else if (phase == Phase.OPEN) {
+            sweepOpen(now);
         }
-        // The acceptor waits longer, so that a link is closed by one side only.
-        Duration idle =
-                target == null ? limits.idleTimeout().multipliedBy(2) : limits.idleTimeout();
-        if (decoder.isPartial() && passed(partialSinceNanos, limits.partialFrameTimeout(), now)) {
-            close(TransportFault.PARTIAL_FRAME_TIMEOUT);
+    }
+
+    private void sweepOpen(long now) {
+        Optional<TransportFault> missed = deadlines.missed(now);
+        if (missed.isPresent()) {
+            close(missed.get());
         } else if (writer.isStalled(now)) {
             close(TransportFault.WRITE_STALL);
-        } else if (writer.isEmpty() && passed(lastUseNanos, idle, now)) {
+        } else if (writer.isEmpty() && deadlines.isIdle(now)) {
             close(null);
         } else {
+            if (deadlines.mustAsk(now)) {
+                offer(OutFrame.of(LinkCheck.CODEC, new LinkCheck(false)));
+            }
             flush();
         }
     }
 
+    private void offer(OutFrame frame) {
+        if (!writer.offer(frame)) {
+            close(TransportFault.QUEUE_FULL);
+        }
+    }
+
     /** Closes the link; does nothing if called again. */
     void close(@Nullable TransportFault fault) {
         if (phase == Phase.CLOSED) {
@@ -234,16 +237,15 @@
             return;
         }
         buffer.flip();
-        boolean wasPartial = decoder.isPartial();
+        deadlines.received(now());
+        boolean completed = false;
         byte[] frame = decoder.next(buffer);
         while (frame != null) {
-            wasPartial = false;
+            completed = true;
             receive(frame);
             frame = phase == Phase.CLOSED ? null : decoder.next(buffer);
         }
-        if (decoder.isPartial() && !wasPartial) {
-            partialSinceNanos = now();
-        }
+        deadlines.read(decoder.isPartial(), completed, now());
     }
 
     private void receive(byte[] frame) throws TransportException {
@@ -257,7 +259,11 @@
             }
             return;
         }
-        lastUseNanos = now();
+        if (decoded.isPresent() && decoded.get().message() instanceof LinkCheck check) {
+            onCheck(check, frame.length);
+            return;
+        }
+        deadlines.used(now());
         if (decoded.isEmpty() || peer == null) {
             context.counters().fault(TransportFault.UNKNOWN_TYPE);
             return;
@@ -267,6 +273,17 @@
         context.deliver(entry, peer, decoded.get().message());
     }
 
+    /** Answers a check. Checks are no use of the link, so that it may still close when idle. */
+    private void onCheck(LinkCheck check, int bytes) {
+        if (peer != null) {
+            countReceived("LinkCheck", peer, bytes);
+        }
+        if (!check.answer()) {
+            offer(OutFrame.of(LinkCheck.CODEC, new LinkCheck(true)));
+            flush();
+        }
+    }
+
     private void greeted(Hello hello, int bytes) {
         Optional<TransportFault> refused = refusal(hello);
         if (refused.isPresent()) {
@@ -278,7 +295,7 @@
         incarnation = hello.incarnation();
         countReceived("Hello", hello.peer(), bytes);
         phase = Phase.OPEN;
-        lastUseNanos = now();
+        deadlines.opened(now());
         decoder.allow(context.limits().maxFrameBytes());
         table.opened(this, hello);
         if (target == null) {
@@ -348,8 +365,4 @@
     private long now() {
         return context.clock().nanos();
     }
-
-    private static boolean passed(long sinceNanos, Duration limit, long now) {
-        return now - sinceNanos >= limit.toNanos();
-    }
 }
