--- a/distribution/src/main/java/dev/zinniaring/distribution/Recorder.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Recorder.java
@@ -22,11 +22,12 @@
     private static final Logger log = LoggerFactory.getLogger(Recorder.class);
     private static final Duration FIRST_RETRY = Duration.ofMillis(200);
     private static final Duration MAX_RETRY = Duration.ofSeconds(2);
+    // Longer than a lost frame takes to be sent again.
+    private static final Duration PROOF_DELAY = Duration.ofMillis(500);
+
     // Retries without a majority before rows on the platform are used.
     private static final int RETRIES_BEFORE_ROWS = 3;
 
-    private static final String RECORDED_ROW = "recorded";
-
     private final Context context;
     private final Seeds seeds;
     private final SeedDesk desk;
@@ -36,7 +37,6 @@
     private @Nullable Round round;
     private @Nullable Round finished;
     private boolean rowsBusy;
-    private long published;
 
     Recorder(
             Context context,
@@ -99,32 +99,6 @@
         round = null;
     }
 
-    /**
-     * Leaves word on the platform that the version of the last round is recorded, for readers that
-     * cannot reach a majority of seeds themselves; not needed if all seeds could be reached. Once
-     * true it stays true, so a row that only rises can say it.
-     */
-    void publishRecorded() {
-        Round done = finished;
-        if (done == null || rowsBusy || everySeedAnswered(done)) {
-            return;
-        }
-        long number = done.version.number();
-        if (number <= published) {
-            return;
-        }
-        runRows(
-                () -> {
-                    source.putMark(RECORDED_ROW, number);
-                    context.mailbox().post(() -> published = Math.max(published, number));
-                },
-                () -> {});
-    }
-
-    private boolean everySeedAnswered(Round done) {
-        return done.acks.acknowledgements() == seeds.count();
-    }
-
     /** Returns the number that waits for a majority, 0 for none. */
     long recording() {
         Round running = round;
@@ -230,8 +204,7 @@
             return;
         }
         asking.rows.read(rows);
-        boolean known = rows.getOrDefault(RECORDED_ROW, 0L) >= asking.version.number();
-        if (known || asking.rows.complete()) {
+        if (asking.rows.complete()) {
             finish(asking);
             return;
         }
@@ -248,8 +221,34 @@
 
     private void finish(Round done) {
         stop();
-        finished = done;
         recorded.accept(done.version);
+        finished = done;
+        context.after(PROOF_DELAY, () -> leaveProof(done));
+    }
+
+    /**
+     * Lets readers that are cut off from the seeds, but not from the platform, go on. Needed only
+     * if some seed has not answered by now.
+     */
+    private void leaveProof(Round done) {
+        if (finished != done || done.acks.acknowledgements() == seeds.count()) {
+            return;
+        }
+        long number = done.version.number();
+        try {
+            executor.execute(() -> putProof(done, number));
+        } catch (RejectedExecutionException e) {
+            log.debug("proof of version {} not left because the executor has stopped", number);
+        }
+    }
+
+    private void putProof(Round done, long number) {
+        try {
+            source.putMark(PlatformRound.RECORDED, number);
+        } catch (PublishException e) {
+            log.debug("proof of version {} could not be left: {}", number, e.getMessage());
+            context.after(MAX_RETRY, () -> leaveProof(done));
+        }
     }
 
     /** A task that blocks on the platform. */
