--- a/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
+++ b/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
@@ -54,7 +54,8 @@
         routes = new Routes(versions, endpoints, clock);
         CallMetrics metrics = new CallMetrics(parts.registry());
         AnswerRelay relay = new AnswerRelay(metrics);
-        OwnerPath path = new OwnerPath(servers, guard, client, clock, limits.connectMillis());
+        OwnerPath path =
+                new OwnerPath(servers, guard, client, new CrashProbe(guard, scheduler), clock);
         KeyHome keys = new KeyHome(settings.nodeId(), memory, homes, endpoints, client);
         Attempts attempts =
                 new Attempts(
--- a/node/src/main/java/dev/zinniaring/node/OwnerPath.java
+++ b/node/src/main/java/dev/zinniaring/node/OwnerPath.java
@@ -6,9 +6,6 @@
 import dev.zinniaring.admission.Permit;
 import dev.zinniaring.admission.RunOutcome;
 import dev.zinniaring.kernel.Clock;
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import okhttp3.Request;
 import okhttp3.Response;
 import org.jspecify.annotations.Nullable;
@@ -24,20 +21,20 @@
     private final ApartRuns apart;
     private final HopClient client;
     private final Clock clock;
-    private final int connectMillis;
+    private final CrashProbe probe;
 
     OwnerPath(
             LocalServers servers,
             CrashGuard guard,
             HopClient client,
-            Clock clock,
-            int connectMillis) {
+            CrashProbe probe,
+            Clock clock) {
         this.servers = servers;
         this.guard = guard;
         this.apart = new ApartRuns(guard, clock);
         this.client = client;
         this.clock = clock;
-        this.connectMillis = connectMillis;
+        this.probe = probe;
     }
 
     /**
@@ -150,7 +147,7 @@
                 case BROKEN -> {
                     guarded.broken();
                     permit.release(RunOutcome.FAILED, elapsedNanos());
-                    checkForCrash();
+                    probe.broke(server);
                 }
                 default -> {
                     guarded.broken();
@@ -175,7 +172,7 @@
                 case BROKEN -> {
                     guarded.broken();
                     permit.release(RunOutcome.FAILED, elapsedNanos());
-                    checkForCrash();
+                    probe.broke(server);
                     yield CallException.unknown(502, "broken");
                 }
                 case TIMED_OUT -> {
@@ -199,16 +196,6 @@
         private long elapsedNanos() {
             return clock.nanos() - startNanos;
         }
-
-        /** A server that breaks a connection and then refuses new ones has crashed. */
-        private void checkForCrash() {
-            InetSocketAddress address = server.announced().address();
-            try (Socket probe = new Socket()) {
-                probe.connect(address, connectMillis);
-            } catch (IOException e) {
-                guard.crashed(server.serverId());
-            }
-        }
     }
 
     private static int badBodyStatus(HopException e) {
--- a/node/src/test/java/dev/zinniaring/node/LifeTest.java
+++ b/node/src/test/java/dev/zinniaring/node/LifeTest.java
@@ -134,6 +134,39 @@
         }
     }
 
+    /** Guards against a request that takes one backend server after the other with it. */
+    @Test
+    void aRequestThatCrashedTwoServersIsHeldBack() throws Exception {
+        List<BackendServer> servers = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            BackendServer server = BackendServer.builder("s" + i, "katalog").build();
+            closed.add(server);
+            server.start();
+            servers.add(server);
+            owner.serve("s" + i, "katalog", server.address());
+        }
+
+        NodeTest.eventually(() -> "crashes-servers".equals(reasonOfCrashingCall()));
+
+        assertThat(servers.stream().filter(BackendServer::running)).hasSize(1);
+        try (Response answer = post(entry, "/read")) {
+            assertThat(answer.code()).isEqualTo(200);
+        }
+    }
+
+    private String reasonOfCrashingCall() {
+        Request request =
+                new Request.Builder()
+                        .url(entry.url("/write"))
+                        .post(RequestBody.create("crash-the-server".getBytes()))
+                        .build();
+        try (Response answer = client.newCall(request).execute()) {
+            return answer.header("Zinniaring-Reason", "");
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
