--- a/bench/src/main/java/dev/zinniaring/bench/ConvergenceExperiment.java
+++ b/bench/src/main/java/dev/zinniaring/bench/ConvergenceExperiment.java
@@ -37,8 +37,8 @@
             report.deployment(Deployment.ALL.get(i).name(), figures.get(i), baselines.get(i));
         }
         return report.note(
-                "A change every 350 ms, so steady traffic is counted in. Bytes across zones are those"
-                        + " between nodes of different zones and all those to and from the"
+                "A change every 350 ms, so steady traffic is counted in. Bytes across zones are"
+                        + " those between nodes of different zones and all those to and from the"
                         + " platform, which lies in no zone.");
     }
 
--- a/bench/src/main/java/dev/zinniaring/bench/ScaleSlopesExperiment.java
+++ b/bench/src/main/java/dev/zinniaring/bench/ScaleSlopesExperiment.java
@@ -63,9 +63,9 @@
         fit(slopes, "micros_per_table_change", samples, Sample::microsPerTableChange);
         return Report.of(slopes.and("sizes", sizes), polling(seed))
                 .note(
-                        "Each value is of one node. A line is value = base + slope * nodes. Bytes are"
-                                + " those sent; as many are received. The nodes share the threads of"
-                                + " one JVM, whose own cost is measured apart.");
+                        "Each value is of one node. A line is value = base + slope * nodes. Bytes"
+                                + " are those sent; as many are received. The nodes share the"
+                                + " threads of one JVM, whose own cost is measured apart.");
     }
 
     /** Measures the baseline, whose cost a node is the same at every size. */
