Add the experiments rolling-restart, partition and crashing-request

Cause: the promises about restarts, cut zones and crashing calls had no measurement. Change: three experiments over whole nodes, with a baseline in the same run. CallMesh can retire or kill a node with its server and cut a zone from the platform.

--- a/bench/src/main/java/dev/zinniaring/bench/CallMesh.java
+++ b/bench/src/main/java/dev/zinniaring/bench/CallMesh.java
@@ -17,7 +17,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 
@@ -37,13 +39,15 @@
  */
 final class CallMesh implements AutoCloseable {
     static final Duration READY_LIMIT = Duration.ofSeconds(20);
-    private static final String MESH = "bench";
+    private static final Duration DRAIN_SPREAD = Duration.ofSeconds(1);
+    static final String MESH = "bench";
 
     private final MemoryPlatform platform = new MemoryPlatform(Clock.system());
     private final LinkConditions conditions = new LinkConditions();
     private final List<Node> nodes = new ArrayList<>();
     private final List<BackendServer> servers = new ArrayList<>();
     private final List<InetSocketAddress> seeds = new ArrayList<>();
+    private final Map<String, ZonePlatform> zonePlatforms = new HashMap<>();
     private final long seed;
     private @Nullable AdmissionFactory admissions;
 
@@ -66,9 +70,10 @@
     Node addNode(String nodeId, String zone) throws ExperimentException {
         NodeSettings settings =
                 NodeSettings.builder().mesh(MESH).nodeId(nodeId).zone(zone).seeds(seeds).build();
+        ZonePlatform reached = zonePlatform(zone);
         NodeBuilder builder =
                 Node.builder(settings)
-                        .platform(platform.tables(), platform.objects())
+                        .platform(reached.tables(), reached.objects())
                         .conditions(conditions)
                         .seed(seed + nodes.size());
         if (admissions != null) {
@@ -102,6 +107,33 @@
         return server;
     }
 
+    /** Drains a backend server, lets its calls finish, and takes it and its node out. */
+    void retire(Node node, BackendServer server, Duration limit) throws ExperimentException {
+        server.drain();
+        Await.pause(DRAIN_SPREAD);
+        Await.until(
+                () -> server.runs().total() == server.runs().completed(),
+                limit,
+                () -> "end of the calls of " + server.serverId());
+        server.close();
+        node.shutDown(limit);
+        node.close();
+        forget(node, server);
+    }
+
+    /** Ends a node and its backend server at once; calls in flight are cut. */
+    void kill(Node node, BackendServer server) {
+        node.close();
+        server.crash();
+        forget(node, server);
+        server.close();
+    }
+
+    private void forget(Node node, BackendServer server) {
+        nodes.remove(node);
+        servers.remove(server);
+    }
+
     /** Publishes tables and returns the version's number. */
     long publish(Tables tables) throws ExperimentException {
         try {
@@ -128,6 +160,11 @@
                 && node.endpoints().view().all().size() >= servers.size();
     }
 
+    /** Returns the platform as the nodes of a zone reach it. */
+    ZonePlatform zonePlatform(String zone) {
+        return zonePlatforms.computeIfAbsent(zone, key -> new ZonePlatform(platform));
+    }
+
     MemoryPlatform platform() {
         return platform;
     }
--- a/bench/src/main/java/dev/zinniaring/bench/Experiments.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -9,7 +9,10 @@
             List.of(
                     new AddedLatencyExperiment(),
                     new ConvergenceExperiment(),
+                    new CrashingRequestExperiment(),
+                    new PartitionExperiment(),
                     new RestartStormExperiment(),
+                    new RollingRestartExperiment(),
                     new ScaleSlopesExperiment());
 
     private Experiments() {}
