Let a request wait while two servers that it broke are being asked

Change: while probes of two servers that broke on a request run, or of one that broke on a suspect, the request waits for their end, at most 1 s, before the crash guard decides.

--- a/node/src/main/java/dev/zinniaring/node/OwnerPath.java
+++ b/node/src/main/java/dev/zinniaring/node/OwnerPath.java
@@ -56,12 +56,12 @@
                         new CallInfo(call.rankOrder(), call.deadlineNanos()),
                         call.deadlineNanos() - clock.nanos(),
                         call.exchange().cancellation());
-        Run run = new Run(server, permit);
+        Run run = new Run(server, permit, fingerprint);
         try {
             checkGuard(fingerprint);
             long leftNanos = call.deadlineNanos() - clock.nanos();
             Request request = HopRequests.of(call, server.target(), leftNanos).build();
-            return run.send(call, request, fingerprint, leftNanos);
+            return run.send(call, request, leftNanos);
         } catch (CallException | RuntimeException e) {
             permit.release(RunOutcome.CANCELLED, 0);
             throw e;
@@ -81,6 +81,7 @@
     }
 
     private void checkGuard(long fingerprint) throws CallException {
+        probe.settle(fingerprint);
         if (guard.verdict(fingerprint) == CrashGuard.Verdict.HOLD) {
             throw CallException.notRun(503, "crashes-servers");
         }
@@ -99,15 +100,16 @@
     private final class Run {
         private final LocalServer server;
         private final Permit permit;
+        private final long fingerprint;
         private final long startNanos = clock.nanos();
 
-        Run(LocalServer server, Permit permit) {
+        Run(LocalServer server, Permit permit, long fingerprint) {
             this.server = server;
             this.permit = permit;
+            this.fingerprint = fingerprint;
         }
 
-        HopAnswer send(CallContext call, Request request, long fingerprint, long leftNanos)
-                throws CallException {
+        HopAnswer send(CallContext call, Request request, long leftNanos) throws CallException {
             CrashGuard.Run guarded = apart.started(server, fingerprint, leftNanos);
             HopAnswer answer;
             try {
@@ -147,7 +149,7 @@
                 case BROKEN -> {
                     guarded.broken();
                     permit.release(RunOutcome.FAILED, elapsedNanos());
-                    probe.broke(server);
+                    probe.broke(server, fingerprint);
                 }
                 default -> {
                     guarded.broken();
@@ -172,7 +174,7 @@
                 case BROKEN -> {
                     guarded.broken();
                     permit.release(RunOutcome.FAILED, elapsedNanos());
-                    probe.broke(server);
+                    probe.broke(server, fingerprint);
                     yield CallException.unknown(502, "broken");
                 }
                 case TIMED_OUT -> {
