--- a/bench/src/main/java/dev/zinniaring/bench/CallMesh.java
+++ b/bench/src/main/java/dev/zinniaring/bench/CallMesh.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.bench;
 
+import dev.zinniaring.admission.RetryPolicy;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.model.Tables;
@@ -50,6 +51,7 @@
     private final Map<String, ZonePlatform> zonePlatforms = new HashMap<>();
     private final long seed;
     private @Nullable AdmissionFactory admissions;
+    private @Nullable RetryPolicy retryPolicy;
 
     private CallMesh(long seed) {
         this.seed = seed;
@@ -66,6 +68,12 @@
         return this;
     }
 
+    /** Sets what decides on the retries of nodes that are added from now on. */
+    CallMesh retryPolicy(RetryPolicy policy) {
+        retryPolicy = policy;
+        return this;
+    }
+
     /** Starts a node in an availability zone. */
     Node addNode(String nodeId, String zone) throws ExperimentException {
         NodeSettings settings =
@@ -79,6 +87,9 @@
         if (admissions != null) {
             builder.admissions(admissions);
         }
+        if (retryPolicy != null) {
+            builder.retryPolicy(retryPolicy);
+        }
         try {
             Node node = builder.build();
             node.start();
@@ -191,7 +202,7 @@
 
     @Override
     public void close() {
-        nodes.forEach(Node::close);
-        servers.forEach(BackendServer::close);
+        servers.parallelStream().forEach(BackendServer::close);
+        nodes.parallelStream().forEach(Node::close);
     }
 }
--- a/bench/src/main/java/dev/zinniaring/bench/Experiments.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -8,10 +8,13 @@
     static final List<Experiment> ALL =
             List.of(
                     new AddedLatencyExperiment(),
+                    new BalanceExperiment(),
                     new ConvergenceExperiment(),
                     new CrashingRequestExperiment(),
                     new PartitionExperiment(),
+                    new RankFloodExperiment(),
                     new RestartStormExperiment(),
+                    new RetryAmplificationExperiment(),
                     new RollingRestartExperiment(),
                     new ScaleSlopesExperiment());
 
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
@@ -145,17 +145,16 @@
 
     private void poll() {
         MemberView view = context.view();
-        boolean isReader = running && view.isReader();
-        if (!isReader) {
+        if (!running || !view.isReader()) {
             readerSinceNanos = OptionalLong.empty();
             return;
         }
         long since = readerSinceNanos.orElse(context.clock().nanos());
         readerSinceNanos = OptionalLong.of(since);
-        boolean settled = context.clock().since(since).compareTo(READER_SETTLES) >= 0;
-        if ((settled || desk.isSoleSeed()) && polls.due(PollPlan.isPreferred(view))) {
+        boolean settled =
+                desk.isSoleSeed() || context.clock().since(since).compareTo(READER_SETTLES) >= 0;
+        if (settled && polls.due(PollPlan.isPreferred(view))) {
             reader.readVersion();
-            recorder.publishRecorded();
         }
     }
 
