--- a/bench/src/main/java/dev/zinniaring/bench/Experiments.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -8,12 +8,15 @@
     static final List<Experiment> ALL =
             List.of(
                     new AddedLatencyExperiment(),
+                    new BalanceExperiment(),
                     new ConvergenceExperiment(),
-                    new RestartStormExperiment(),
-                    new ScaleSlopesExperiment(),
+                    new CrashingRequestExperiment(),
+                    new PartitionExperiment(),
                     new RankFloodExperiment(),
+                    new RestartStormExperiment(),
                     new RetryAmplificationExperiment(),
-                    new BalanceExperiment());
+                    new RollingRestartExperiment(),
+                    new ScaleSlopesExperiment());
 
     private Experiments() {}
 
--- a/node/src/main/java/dev/zinniaring/node/OwnerPath.java
+++ b/node/src/main/java/dev/zinniaring/node/OwnerPath.java
@@ -6,9 +6,6 @@
 import dev.zinniaring.admission.Permit;
 import dev.zinniaring.admission.RunOutcome;
 import dev.zinniaring.kernel.Clock;
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import okhttp3.Request;
 import okhttp3.Response;
 import org.jspecify.annotations.Nullable;
@@ -24,20 +21,20 @@
     private final ApartRuns apart;
     private final HopClient client;
     private final Clock clock;
-    private final int connectMillis;
+    private final CrashProbe probe;
 
     OwnerPath(
             LocalServers servers,
             CrashGuard guard,
             HopClient client,
-            Clock clock,
-            int connectMillis) {
+            CrashProbe probe,
+            Clock clock) {
         this.servers = servers;
         this.guard = guard;
         this.apart = new ApartRuns(guard, clock);
         this.client = client;
         this.clock = clock;
-        this.connectMillis = connectMillis;
+        this.probe = probe;
     }
 
     /**
@@ -59,12 +56,12 @@
                         new CallInfo(call.rankOrder(), call.deadlineNanos()),
                         call.deadlineNanos() - clock.nanos(),
                         call.exchange().cancellation());
-        Run run = new Run(server, permit);
+        Run run = new Run(server, permit, fingerprint);
         try {
             checkGuard(fingerprint);
             long leftNanos = call.deadlineNanos() - clock.nanos();
             Request request = HopRequests.of(call, server.target(), leftNanos).build();
-            return run.send(call, request, fingerprint, leftNanos);
+            return run.send(call, request, leftNanos);
         } catch (CallException | RuntimeException e) {
             permit.release(RunOutcome.CANCELLED, 0);
             throw e;
@@ -84,6 +81,7 @@
     }
 
     private void checkGuard(long fingerprint) throws CallException {
+        probe.settle(fingerprint);
         if (guard.verdict(fingerprint) == CrashGuard.Verdict.HOLD) {
             throw CallException.notRun(503, "crashes-servers");
         }
@@ -102,15 +100,16 @@
     private final class Run {
         private final LocalServer server;
         private final Permit permit;
+        private final long fingerprint;
         private final long startNanos = clock.nanos();
 
-        Run(LocalServer server, Permit permit) {
+        Run(LocalServer server, Permit permit, long fingerprint) {
             this.server = server;
             this.permit = permit;
+            this.fingerprint = fingerprint;
         }
 
-        HopAnswer send(CallContext call, Request request, long fingerprint, long leftNanos)
-                throws CallException {
+        HopAnswer send(CallContext call, Request request, long leftNanos) throws CallException {
             CrashGuard.Run guarded = apart.started(server, fingerprint, leftNanos);
             HopAnswer answer;
             try {
@@ -150,7 +149,7 @@
                 case BROKEN -> {
                     guarded.broken();
                     permit.release(RunOutcome.FAILED, elapsedNanos());
-                    checkForCrash();
+                    probe.broke(server, fingerprint);
                 }
                 default -> {
                     guarded.broken();
@@ -175,7 +174,7 @@
                 case BROKEN -> {
                     guarded.broken();
                     permit.release(RunOutcome.FAILED, elapsedNanos());
-                    checkForCrash();
+                    probe.broke(server, fingerprint);
                     yield CallException.unknown(502, "broken");
                 }
                 case TIMED_OUT -> {
@@ -199,16 +198,6 @@
         private long elapsedNanos() {
             return clock.nanos() - startNanos;
         }
-
-        /** A server that breaks a connection and then refuses new ones has crashed. */
-        private void checkForCrash() {
-            InetSocketAddress address = server.announced().address();
-            try (Socket probe = new Socket()) {
-                probe.connect(address, connectMillis);
-            } catch (IOException e) {
-                guard.crashed(server.serverId());
-            }
-        }
     }
 
     private static int badBodyStatus(HopException e) {
