Count the goodput of rank-flood in a window of steady flood

Cause: goodput was divided by the time of a whole load of 1.5 s, which holds a start in which no call can have ended and a tail in which the queues run empty, so that capacity and floors looked worse than they were.

--- a/bench/src/main/java/dev/zinniaring/bench/RankFloodExperiment.java
+++ b/bench/src/main/java/dev/zinniaring/bench/RankFloodExperiment.java
@@ -2,6 +2,7 @@
 
 import dev.zinniaring.admission.FifoAdmission;
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.ExecutorScheduler;
 import dev.zinniaring.node.AdmissionFactory;
 import dev.zinniaring.node.Node;
 import dev.zinniaring.standins.LoadResult;
@@ -11,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -33,9 +35,10 @@
     private static final double CAPACITY_PER_SECOND = 240;
 
     private static final double SIGMA = 0.3;
-    private static final Duration WARM_UP = Duration.ofMillis(1_500);
-    private static final Duration CALM = Duration.ofMillis(2_000);
-    private static final Duration FLOOD = Duration.ofMillis(1_500);
+    private static final Duration WARM_UP = Duration.ofMillis(3_000);
+    private static final Duration CALM = Duration.ofMillis(5_000);
+    private static final Duration FLOOD = Duration.ofMillis(5_000);
+    private static final Duration WINDOW_START = Duration.ofMillis(1_000);
     private static final int QUEUED = 100;
     private static final int QUEUE_MILLIS = 1_000;
 
@@ -51,27 +54,32 @@
 
     @Override
     public Report run(long seed) throws ExperimentException {
-        List<CallMesh> meshes = new ArrayList<>();
         List<Figures> ranked = new ArrayList<>();
         List<Figures> fifo = new ArrayList<>();
-        try {
-            // All start before the first load, so that they wait for their versions together.
-            for (Deployment deployment : Deployment.ALL) {
-                meshes.add(start(deployment, null, seed));
-                meshes.add(start(deployment, fifo(), seed));
-            }
-            for (int i = 0; i < Deployment.ALL.size(); i++) {
-                ranked.add(measure(meshes.get(2 * i), Deployment.ALL.get(i), seed));
-                fifo.add(measure(meshes.get(2 * i + 1), Deployment.ALL.get(i), seed));
-            }
-        } finally {
-            meshes.parallelStream().forEach(CallMesh::close);
+        for (Deployment deployment : Deployment.ALL) {
+            // Both at once: each has threads to spare, and both see the same machine.
+            CompletableFuture<Figures> baseline =
+                    CompletableFuture.supplyAsync(() -> measured(deployment, fifo(), seed));
+            ranked.add(measured(deployment, null, seed));
+            fifo.add(baseline.join());
         }
         Report report = Report.of(worst(ranked), worst(fifo));
         for (int i = 0; i < Deployment.ALL.size(); i++) {
             report.deployment(Deployment.ALL.get(i).name(), ranked.get(i), fifo.get(i));
         }
-        return report.note("capacity is the slots of the pool over the mean service time");
+        return report.note(
+                "capacity is the slots of the pool over the mean service time; goodput is counted at"
+                        + " the servers in a window of steady flood");
+    }
+
+    private static Figures measured(
+            Deployment deployment, @Nullable AdmissionFactory admissions, long seed) {
+        try (CallMesh mesh = start(deployment, admissions, seed);
+                ExecutorScheduler scheduler = new ExecutorScheduler("bench-window", 1)) {
+            return measure(mesh, deployment, scheduler, seed);
+        } catch (ExperimentException e) {
+            throw new IllegalStateException(deployment.name() + " was not measured", e);
+        }
     }
 
     private static AdmissionFactory fifo() {
@@ -95,29 +103,38 @@
         return deployment.services().get(0).servers() * deployment.slots() / CAPACITY_PER_SECOND;
     }
 
-    private static Figures measure(CallMesh mesh, Deployment deployment, long seed)
+    private static Figures measure(
+            CallMesh mesh, Deployment deployment, ExecutorScheduler scheduler, long seed)
             throws ExperimentException {
-        Deployment.Service service = deployment.services().get(0);
-        double meanSeconds = meanSeconds(deployment);
+        String service = deployment.services().get(0).name();
         mesh.awaitReady(1);
         List<InetSocketAddress> targets =
                 mesh.nodes().stream().map(node -> CallMesh.reachable(node.callAddress())).toList();
-        List<LoadStream> calm = streams(service.name(), CALM_SHARES);
+        List<LoadStream> calm = streams(service, CALM_SHARES);
         Loads.run(targets, calm, WARM_UP, seed);
         LoadResult calmResult = Loads.run(targets, calm, CALM, seed + 10);
-        LoadResult least =
-                Loads.run(
-                        targets,
-                        streams(service.name(), flooded(LEAST_URGENT, LEAST_FLOOD)),
-                        FLOOD,
-                        seed + 20);
-        LoadResult urgent =
-                Loads.run(
-                        targets,
-                        streams(service.name(), flooded(MOST_URGENT, URGENT_FLOOD)),
-                        FLOOD,
-                        seed + 30);
-        return figures(calmResult, least, urgent, meanSeconds);
+        List<LoadStream> leastStreams = streams(service, flooded(LEAST_URGENT, LEAST_FLOOD));
+        RunWindow leastWindow = window(mesh, scheduler);
+        LoadResult least = Loads.run(targets, leastStreams, FLOOD, seed + 20);
+        List<LoadStream> urgentStreams = streams(service, flooded(MOST_URGENT, URGENT_FLOOD));
+        RunWindow urgentWindow = window(mesh, scheduler);
+        LoadResult urgent = Loads.run(targets, urgentStreams, FLOOD, seed + 30);
+        return figures(calmResult, new Flood(least, leastWindow), new Flood(urgent, urgentWindow));
+    }
+
+    private static RunWindow window(CallMesh mesh, ExecutorScheduler scheduler) {
+        return RunWindow.over(mesh.servers(), scheduler, WINDOW_START, FLOOD);
+    }
+
+    /** What became of the calls of a flood, and the runs in its steady part. */
+    private record Flood(LoadResult result, RunWindow window) {
+        double ofCapacity() {
+            return RANKS.stream().mapToDouble(this::ofCapacity).sum();
+        }
+
+        double ofCapacity(String rank) {
+            return window.goodPerSecond(rank, result) / CAPACITY_PER_SECOND;
+        }
     }
 
     private static CallMesh start(
@@ -165,44 +182,32 @@
         return streams;
     }
 
-    private static Figures figures(
-            LoadResult calm, LoadResult least, LoadResult urgent, double meanSeconds) {
+    private static Figures figures(LoadResult calm, Flood least, Flood urgent) {
         LoadResult.Stream calmCheck = calm.stream(RANKS.get(MOST_URGENT));
-        LoadResult.Stream check = least.stream(RANKS.get(MOST_URGENT));
+        LoadResult.Stream check = least.result.stream(RANKS.get(MOST_URGENT));
         return Figures.of("urgent_goodput_ratio", okShare(check) / okShare(calmCheck))
                 .and(
                         "urgent_p99_ratio",
                         check.percentileMillis(99) / calmCheck.percentileMillis(99))
-                .and(
-                        "goodput_of_capacity",
-                        Math.min(ofCapacity(least, meanSeconds), ofCapacity(urgent, meanSeconds)))
-                .and("floor_kept", floorKept(urgent, meanSeconds))
+                .and("goodput_of_capacity", Math.min(least.ofCapacity(), urgent.ofCapacity()))
+                .and("floor_kept", floorKept(urgent))
                 .and("calm_p99_ms", calmCheck.percentileMillis(99))
-                .and("least_flood_of_capacity", ofCapacity(least, meanSeconds))
-                .and("urgent_flood_of_capacity", ofCapacity(urgent, meanSeconds));
+                .and("least_flood_of_capacity", least.ofCapacity())
+                .and("urgent_flood_of_capacity", urgent.ofCapacity());
     }
 
     private static double okShare(LoadResult.Stream stream) {
         return (double) stream.ok() / (stream.sent() + stream.skipped());
     }
 
-    private static double ofCapacity(LoadResult result, double meanSeconds) {
-        double ok = RANKS.stream().mapToLong(rank -> result.stream(rank).ok()).sum();
-        return ok / capacityCalls(result, meanSeconds);
-    }
-
-    /** Returns the calls that fit; no call can end in the first service time of a load. */
-    private static double capacityCalls(LoadResult result, double meanSeconds) {
-        return CAPACITY_PER_SECOND * (result.elapsedMillis() / 1e3 - meanSeconds);
-    }
-
-    private static double floorKept(LoadResult urgent, double meanSeconds) {
+    /**
+     * Returns the least share of its floor that a rank keeps; a floor is at most the offered load.
+     */
+    private static double floorKept(Flood urgent) {
         double worst = Double.MAX_VALUE;
         for (int i = MOST_URGENT + 1; i < RANKS.size(); i++) {
-            LoadResult.Stream stream = urgent.stream(RANKS.get(i));
-            double floor = FLOORS.get(i) * capacityCalls(urgent, meanSeconds);
-            double due = Math.min(floor, stream.sent() + stream.skipped());
-            worst = Math.min(worst, stream.ok() / due);
+            double due = Math.min(FLOORS.get(i), CALM_SHARES.get(i));
+            worst = Math.min(worst, urgent.ofCapacity(RANKS.get(i)) / due);
         }
         return worst;
     }
--- /dev/null
+++ b/bench/src/main/java/dev/zinniaring/bench/RunWindow.java
@@ -0,0 +1,72 @@
+package dev.zinniaring.bench;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.ExecutorScheduler;
+import dev.zinniaring.standins.BackendServer;
+import dev.zinniaring.standins.LoadResult;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Counts the runs that backend servers begin in a span of steady load, by stream. A count over a
+ * whole load would hold its start, in which no call can have ended, and its end, in which queues
+ * run empty.
+ */
+final class RunWindow {
+    private final List<BackendServer> servers;
+    private volatile Reading first = new Reading(0, Map.of());
+    private volatile Reading last = new Reading(0, Map.of());
+
+    private record Reading(long nanos, Map<String, Long> runs) {}
+
+    private RunWindow(List<BackendServer> servers) {
+        this.servers = servers;
+    }
+
+    /** Returns a window that reads the servers after {@code from} and again after {@code until}. */
+    static RunWindow over(
+            List<BackendServer> servers,
+            ExecutorScheduler scheduler,
+            Duration from,
+            Duration until) {
+        RunWindow window = new RunWindow(servers);
+        scheduler.after(from, () -> window.first = window.read());
+        scheduler.after(until, () -> window.last = window.read());
+        return window;
+    }
+
+    private Reading read() {
+        Map<String, Long> runs = new TreeMap<>();
+        for (BackendServer server : servers) {
+            server.runs()
+                    .byCallId()
+                    .forEach(
+                            (callId, count) -> runs.merge(stream(callId), (long) count, Long::sum));
+        }
+        return new Reading(Clock.system().nanos(), runs);
+    }
+
+    /** Call ids of the load generator are made of a prefix, the stream and a number. */
+    private static String stream(String callId) {
+        String[] parts = callId.split("-");
+        return parts.length < 2 ? callId : parts[parts.length - 2];
+    }
+
+    /**
+     * Returns the good runs a second of a stream: those begun, less the share that failed later.
+     */
+    double goodPerSecond(String stream, LoadResult result) {
+        double seconds = (last.nanos - first.nanos) * 1e-9;
+        long begun = last.runs.getOrDefault(stream, 0L) - first.runs.getOrDefault(stream, 0L);
+        return begun / seconds * goodShare(result.stream(stream));
+    }
+
+    /** Returns the share of calls that ran whose callers got an answer of the server. */
+    private static double goodShare(LoadResult.Stream stream) {
+        long ran = stream.outcomes().getOrDefault("ran", 0L);
+        long unknown = stream.outcomes().getOrDefault("unknown", 0L) + stream.broken();
+        return ran + unknown == 0 ? 0 : (double) ran / (ran + unknown);
+    }
+}
--- a/standins/src/main/java/dev/zinniaring/standins/LoadGenerator.java
+++ b/standins/src/main/java/dev/zinniaring/standins/LoadGenerator.java
@@ -158,7 +158,7 @@
         private void send(int number) {
             inFlight.register();
             tally.sent();
-            String callId = parts.callIdPrefix + "-" + number;
+            String callId = parts.callIdPrefix + "-" + stream.name() + "-" + number;
             Request request = request(number, callId);
             long sentNanos = clock.nanos();
             client.newCall(request).enqueue(new Answer(tally, callId, dueNanos, sentNanos));
