--- a/kernel/src/main/java/dev/zinniaring/kernel/JsonFields.java
+++ b/kernel/src/main/java/dev/zinniaring/kernel/JsonFields.java
@@ -10,7 +10,9 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,6 +38,8 @@
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                     .build();
 
+    private static final String FILE_SUFFIX = ".json";
+
     private final JsonNode node;
     private final String path;
     private final List<Problem> problems;
@@ -103,7 +107,7 @@
         String written = text(name);
         List<String> accepted = new ArrayList<>();
         for (E constant : type.getEnumConstants()) {
-            String spelling = constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+            String spelling = constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
             if (spelling.equals(written)) {
                 return constant;
             }
@@ -215,10 +219,7 @@
         for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
             String name = names.next();
             if (!known.contains(name)) {
-                report(
-                        name,
-                        "unknown field",
-                        "one of " + String.join(", ", new java.util.TreeSet<>(known)));
+                report(name, "unknown field", "one of " + String.join(", ", new TreeSet<>(known)));
             }
         }
     }
@@ -234,8 +235,9 @@
     }
 
     private String at(String name) {
-        return path.isEmpty()
-                ? name
-                : path + (path.endsWith("]") || !path.contains(".json") ? "." : "#") + name;
+        if (path.isEmpty()) {
+            return name;
+        }
+        return path + (path.endsWith(FILE_SUFFIX) ? "#" : ".") + name;
     }
 }
