Show tables, endpoints, limits and the build in the state dump

Cause: operators ask a node for its tables, endpoints and build, and the dump had only counts and the version's number. Change: the calls part of /state holds the tables and endpoint records in force, the admin part the limits and the build; a test reads them.

--- a/node/src/main/java/dev/zinniaring/node/AdminPlugin.java
+++ b/node/src/main/java/dev/zinniaring/node/AdminPlugin.java
@@ -162,6 +162,12 @@
 
     @Override
     public Object state() {
-        return Map.of("address", HopRequests.text(address()));
+        return new State(
+                HopRequests.text(address()),
+                Build.version(),
+                System.getProperty("java.version", ""),
+                settings.limits());
     }
+
+    private record State(String address, String build, String java, Limits limits) {}
 }
--- a/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
+++ b/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
@@ -8,8 +8,11 @@
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.kernel.Plugin;
 import dev.zinniaring.kernel.Scheduler;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.Tables;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 
 /** The call path: both listeners, and what carries calls from them to the backend servers. */
@@ -134,7 +137,9 @@
                 peers.inFlight(),
                 peers.connections(),
                 client.connections(),
-                routes.current().map(table -> table.version().number()).orElse(0L));
+                routes.current().map(table -> table.version().number()).orElse(0L),
+                routes.current().map(table -> table.version().tables()).orElse(Tables.EMPTY),
+                endpoints.view().all());
     }
 
     private record State(
@@ -144,5 +149,7 @@
             int peerCallsInFlight,
             int peerConnections,
             int outboundConnections,
-            long version) {}
+            long version,
+            Tables tables,
+            Collection<EndpointRecord> endpoints) {}
 }
--- a/node/src/main/java/dev/zinniaring/node/NodeMain.java
+++ b/node/src/main/java/dev/zinniaring/node/NodeMain.java
@@ -74,8 +74,7 @@
 
     private int run(CmdLineParser parser, PrintStream out, PrintStream err) {
         if (version) {
-            String number = NodeMain.class.getPackage().getImplementationVersion();
-            out.println("zinniaring-node " + (number == null ? "development" : number));
+            out.println("zinniaring-node " + Build.version());
             return OK;
         }
         try {
--- a/node/src/test/java/dev/zinniaring/node/NodeTest.java
+++ b/node/src/test/java/dev/zinniaring/node/NodeTest.java
@@ -72,6 +72,9 @@
                 .contains("zinniaring_calls_total{outcome=\"ran\",rank=\"urgent\"} 1");
         JsonNode state = new ObjectMapper().readTree(get(node, "/state"));
         assertThat(state.get("calls").get("version").asLong()).isEqualTo(1);
+        assertThat(state.get("calls").get("tables").get("routes")).isNotEmpty();
+        assertThat(state.get("calls").get("endpoints")).isNotEmpty();
+        assertThat(state.get("admin").get("build").asText()).isNotEmpty();
         assertThat(state.fieldNames())
                 .toIterable()
                 .contains("transport", "membership", "distribution", "announcements");
