Name the store's module by its job, and divide routes between pools

Cause: the module "platform" held the product's own view of a table service and an object store, which leaves no name for the adapter to the users' platform. Routes could not name a target or divide calls by weight, which the users' operators do.

Change: platform becomes store. A route may declare targetMillis and a split of weights by pool; both are absent from the canonical bytes unless used, so that hashes of existing tables stay.

--- a/bench/src/main/java/dev/zinniaring/bench/ZonePlatform.java
+++ b/bench/src/main/java/dev/zinniaring/bench/ZonePlatform.java
@@ -1,12 +1,12 @@
 package dev.zinniaring.bench;
 
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.ObjectStore;
-import dev.zinniaring.platform.PlatformException;
-import dev.zinniaring.platform.PlatformUnavailableException;
-import dev.zinniaring.platform.Row;
-import dev.zinniaring.platform.TableService;
-import dev.zinniaring.platform.Transaction;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.ObjectStore;
+import dev.zinniaring.store.PlatformException;
+import dev.zinniaring.store.PlatformUnavailableException;
+import dev.zinniaring.store.Row;
+import dev.zinniaring.store.TableService;
+import dev.zinniaring.store.Transaction;
 import java.util.List;
 import java.util.Optional;
 
--- a/ctl/src/main/java/dev/zinniaring/ctl/CtlComponent.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/CtlComponent.java
@@ -3,9 +3,9 @@
 import dagger.BindsInstance;
 import dagger.Component;
 import dev.zinniaring.kernel.Clock;
-import dev.zinniaring.platform.Pause;
-import dev.zinniaring.platform.PlatformHttp;
 import dev.zinniaring.publish.Publisher;
+import dev.zinniaring.store.Pause;
+import dev.zinniaring.store.PlatformHttp;
 import jakarta.inject.Singleton;
 
 /** What the commands work with. */
--- a/ctl/src/main/java/dev/zinniaring/ctl/CtlMain.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/CtlMain.java
@@ -1,7 +1,7 @@
 package dev.zinniaring.ctl;
 
 import dev.zinniaring.kernel.Clock;
-import dev.zinniaring.platform.Pause;
+import dev.zinniaring.store.Pause;
 
 /** Entry of the process {@code zinniarctl}. */
 public final class CtlMain {
--- a/ctl/src/main/java/dev/zinniaring/ctl/FollowWait.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/FollowWait.java
@@ -1,7 +1,7 @@
 package dev.zinniaring.ctl;
 
 import dev.zinniaring.kernel.Clock;
-import dev.zinniaring.platform.Pause;
+import dev.zinniaring.store.Pause;
 import java.time.Duration;
 import java.util.List;
 
--- a/ctl/src/test/java/dev/zinniaring/ctl/CtlTest.java
+++ b/ctl/src/test/java/dev/zinniaring/ctl/CtlTest.java
@@ -4,10 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.zinniaring.kernel.ManualClock;
-import dev.zinniaring.platform.Fault;
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.RequestKind;
 import dev.zinniaring.standins.PlatformServer;
+import dev.zinniaring.store.Fault;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.RequestKind;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
--- a/ctl/src/test/java/dev/zinniaring/ctl/RacingCommandsTest.java
+++ b/ctl/src/test/java/dev/zinniaring/ctl/RacingCommandsTest.java
@@ -5,12 +5,12 @@
 
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.TablesCodec;
-import dev.zinniaring.platform.Fault;
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.RequestKind;
 import dev.zinniaring.publish.Publisher;
 import dev.zinniaring.publish.VersionEntry;
 import dev.zinniaring.standins.PlatformServer;
+import dev.zinniaring.store.Fault;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.RequestKind;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.file.Files;
--- a/kernel/src/main/java/dev/zinniaring/kernel/JsonFields.java
+++ b/kernel/src/main/java/dev/zinniaring/kernel/JsonFields.java
@@ -75,6 +75,13 @@
         return new JsonFields(JsonNodeFactory.instance.objectNode(), path, problems);
     }
 
+    /** Returns the names of all fields, in the order in which they stand. */
+    public List<String> names() {
+        List<String> names = new ArrayList<>();
+        node.fieldNames().forEachRemaining(names::add);
+        return names;
+    }
+
     /** Returns whether the field is present and not null. */
     public boolean has(String name) {
         known.add(name);
--- a/model/src/main/java/dev/zinniaring/model/Route.java
+++ b/model/src/main/java/dev/zinniaring/model/Route.java
@@ -1,5 +1,9 @@
 package dev.zinniaring.model;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.Collections;
+import java.util.Set;
+import java.util.SortedMap;
 import java.util.SortedSet;
 
 /**
@@ -13,7 +17,10 @@
  * @param idempotent whether running a call twice has the same effect as running it once
  * @param deadlineMillis longest time that a call may take, in milliseconds
  * @param maxRetries attempts after the first that one call may make
- * @param pool name of the {@link Pool}
+ * @param pool name of the {@link Pool}; ignored if {@code split} is not empty
+ * @param targetMillis time within which an answer has its full worth, in milliseconds; 0 if none is
+ *     declared
+ * @param split weights by pool name, if the calls are divided between several pools; else empty
  */
 public record Route(
         String name,
@@ -24,4 +31,37 @@
         boolean idempotent,
         int deadlineMillis,
         int maxRetries,
-        String pool) {}
+        String pool,
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT) int targetMillis,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) SortedMap<String, Integer> split) {
+
+    /** Returns a route that sends every call to one pool and declares no target. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            SortedSet<String> methods,
+            String rank,
+            boolean idempotent,
+            int deadlineMillis,
+            int maxRetries,
+            String pool) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                methods,
+                rank,
+                idempotent,
+                deadlineMillis,
+                maxRetries,
+                pool,
+                0,
+                Collections.emptySortedMap());
+    }
+
+    /** Returns the names of the pools that calls may go to. */
+    public Set<String> pools() {
+        return split.isEmpty() ? Set.of(pool) : split.keySet();
+    }
+}
--- a/model/src/main/java/dev/zinniaring/model/TablesChecks.java
+++ b/model/src/main/java/dev/zinniaring/model/TablesChecks.java
@@ -20,9 +20,10 @@
     private static void checkReferences(Tables tables, List<Problem> problems) {
         for (Route route : tables.routes().values()) {
             String path = "routes." + route.name();
-            if (!tables.pools().containsKey(route.pool())) {
-                problems.add(
-                        new Problem(path + ".pool", route.pool(), "the name of a declared pool"));
+            for (String pool : route.pools()) {
+                if (!tables.pools().containsKey(pool)) {
+                    problems.add(new Problem(path + ".pool", pool, "the name of a declared pool"));
+                }
             }
             if (!tables.ranks().containsKey(route.rank())) {
                 problems.add(
--- a/model/src/main/java/dev/zinniaring/model/TablesReader.java
+++ b/model/src/main/java/dev/zinniaring/model/TablesReader.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /** Reads the JSON declarations of ranks, routes and pools and collects every problem. */
@@ -13,6 +15,7 @@
     private static final int MAX_RETRIES = 10;
     private static final int MAX_ORDER = 100;
     private static final int MAX_WORTH = 1_000_000;
+    private static final int MAX_WEIGHT = 1_000_000;
     private static final int MAX_QUEUED = 100_000;
 
     private final List<Problem> problems;
@@ -63,11 +66,28 @@
                         fields.flag("idempotent", false),
                         fields.integer("deadlineMillis", 1, MAX_DEADLINE_MILLIS),
                         fields.integer("maxRetries", 0, MAX_RETRIES, 0),
-                        fields.text("pool"));
+                        fields.text("pool"),
+                        fields.integer("targetMillis", 0, MAX_DEADLINE_MILLIS, 0),
+                        split(fields));
         fields.finish();
         return route;
     }
 
+    private static SortedMap<String, Integer> split(JsonFields fields) {
+        SortedMap<String, Integer> weights = new TreeMap<>();
+        if (!fields.has("split")) {
+            return weights;
+        }
+        JsonFields split = fields.object("split");
+        for (String pool : split.names()) {
+            weights.put(pool, split.integer(pool, 0, MAX_WEIGHT));
+        }
+        if (weights.values().stream().allMatch(weight -> weight == 0)) {
+            fields.report("split", weights.toString(), "at least one weight above 0");
+        }
+        return weights;
+    }
+
     private static String pathPrefix(JsonFields fields) {
         String prefix = fields.text("pathPrefix", "/");
         if (!prefix.startsWith("/")) {
--- a/publish/src/main/java/dev/zinniaring/publish/DeltaWriter.java
+++ b/publish/src/main/java/dev/zinniaring/publish/DeltaWriter.java
@@ -4,8 +4,8 @@
 import dev.zinniaring.model.Tables;
 import dev.zinniaring.model.TablesCodec;
 import dev.zinniaring.model.TablesDelta;
-import dev.zinniaring.platform.ObjectStore;
-import dev.zinniaring.platform.PlatformException;
+import dev.zinniaring.store.ObjectStore;
+import dev.zinniaring.store.PlatformException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/publish/src/main/java/dev/zinniaring/publish/Failures.java
+++ b/publish/src/main/java/dev/zinniaring/publish/Failures.java
@@ -1,7 +1,7 @@
 package dev.zinniaring.publish;
 
-import dev.zinniaring.platform.PlatformException;
-import dev.zinniaring.platform.PlatformInvalidRequestException;
+import dev.zinniaring.store.PlatformException;
+import dev.zinniaring.store.PlatformInvalidRequestException;
 
 /** Turns the platform's exceptions into those of this layer. */
 final class Failures {
--- a/publish/src/main/java/dev/zinniaring/publish/PlatformVersionSource.java
+++ b/publish/src/main/java/dev/zinniaring/publish/PlatformVersionSource.java
@@ -1,12 +1,12 @@
 package dev.zinniaring.publish;
 
 import dev.zinniaring.model.TablesCodec;
-import dev.zinniaring.platform.ObjectStore;
-import dev.zinniaring.platform.PlatformBounds;
-import dev.zinniaring.platform.PlatformException;
-import dev.zinniaring.platform.Row;
-import dev.zinniaring.platform.TableService;
-import dev.zinniaring.platform.Transaction;
+import dev.zinniaring.store.ObjectStore;
+import dev.zinniaring.store.PlatformBounds;
+import dev.zinniaring.store.PlatformException;
+import dev.zinniaring.store.Row;
+import dev.zinniaring.store.TableService;
+import dev.zinniaring.store.Transaction;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
--- a/publish/src/main/java/dev/zinniaring/publish/RowCodec.java
+++ b/publish/src/main/java/dev/zinniaring/publish/RowCodec.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.zinniaring.platform.Row;
+import dev.zinniaring.store.Row;
 import java.io.IOException;
 
 /**
--- a/publish/src/main/java/dev/zinniaring/publish/TokenRows.java
+++ b/publish/src/main/java/dev/zinniaring/publish/TokenRows.java
@@ -1,9 +1,9 @@
 package dev.zinniaring.publish;
 
-import dev.zinniaring.platform.PlatformException;
-import dev.zinniaring.platform.Row;
-import dev.zinniaring.platform.TableService;
-import dev.zinniaring.platform.Transaction;
+import dev.zinniaring.store.PlatformException;
+import dev.zinniaring.store.Row;
+import dev.zinniaring.store.TableService;
+import dev.zinniaring.store.Transaction;
 import java.util.Optional;
 
 /**
--- a/publish/src/test/java/dev/zinniaring/publish/Interleaving.java
+++ b/publish/src/test/java/dev/zinniaring/publish/Interleaving.java
@@ -1,9 +1,9 @@
 package dev.zinniaring.publish;
 
-import dev.zinniaring.platform.Fault;
-import dev.zinniaring.platform.FaultRule;
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.RequestKind;
+import dev.zinniaring.store.Fault;
+import dev.zinniaring.store.FaultRule;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.RequestKind;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
--- a/standins/src/main/java/dev/zinniaring/standins/PlatformAdmin.java
+++ b/standins/src/main/java/dev/zinniaring/standins/PlatformAdmin.java
@@ -2,10 +2,10 @@
 
 import dev.zinniaring.kernel.JsonFields;
 import dev.zinniaring.kernel.Problem;
-import dev.zinniaring.platform.Fault;
-import dev.zinniaring.platform.FaultRule;
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.RequestKind;
+import dev.zinniaring.store.Fault;
+import dev.zinniaring.store.FaultRule;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.RequestKind;
 import io.javalin.config.RoutesConfig;
 import io.javalin.http.Context;
 import io.javalin.http.HttpStatus;
--- a/standins/src/main/java/dev/zinniaring/standins/PlatformMain.java
+++ b/standins/src/main/java/dev/zinniaring/standins/PlatformMain.java
@@ -1,8 +1,8 @@
 package dev.zinniaring.standins;
 
 import dev.zinniaring.kernel.Clock;
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.PlatformFaults;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.PlatformFaults;
 import io.javalin.util.JavalinBindException;
 import java.io.PrintStream;
 import org.kohsuke.args4j.CmdLineException;
--- a/standins/src/main/java/dev/zinniaring/standins/PlatformRoutes.java
+++ b/standins/src/main/java/dev/zinniaring/standins/PlatformRoutes.java
@@ -1,14 +1,14 @@
 package dev.zinniaring.standins;
 
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.PlatformException;
-import dev.zinniaring.platform.PlatformInvalidRequestException;
-import dev.zinniaring.platform.PlatformOutcomeUnknownException;
-import dev.zinniaring.platform.PlatformThrottledException;
-import dev.zinniaring.platform.PlatformUnavailableException;
-import dev.zinniaring.platform.PlatformWire;
-import dev.zinniaring.platform.Row;
-import dev.zinniaring.platform.Transaction;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.PlatformException;
+import dev.zinniaring.store.PlatformInvalidRequestException;
+import dev.zinniaring.store.PlatformOutcomeUnknownException;
+import dev.zinniaring.store.PlatformThrottledException;
+import dev.zinniaring.store.PlatformUnavailableException;
+import dev.zinniaring.store.PlatformWire;
+import dev.zinniaring.store.Row;
+import dev.zinniaring.store.Transaction;
 import io.javalin.config.RoutesConfig;
 import io.javalin.http.Context;
 import io.javalin.http.HttpStatus;
--- a/standins/src/main/java/dev/zinniaring/standins/PlatformServer.java
+++ b/standins/src/main/java/dev/zinniaring/standins/PlatformServer.java
@@ -1,9 +1,9 @@
 package dev.zinniaring.standins;
 
 import dev.zinniaring.kernel.Clock;
-import dev.zinniaring.platform.MemoryPlatform;
-import dev.zinniaring.platform.PlatformBounds;
-import dev.zinniaring.platform.RequestCounts;
+import dev.zinniaring.store.MemoryPlatform;
+import dev.zinniaring.store.PlatformBounds;
+import dev.zinniaring.store.RequestCounts;
 import io.javalin.Javalin;
 import io.javalin.compression.CompressionStrategy;
 import io.javalin.config.JavalinConfig;
--- a/platform/src/main/java/dev/zinniaring/platform/Backoff.java
+++ b/store/src/main/java/dev/zinniaring/store/Backoff.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 import java.time.Duration;
 import java.util.random.RandomGenerator;
--- a/platform/src/main/java/dev/zinniaring/platform/CallTrace.java
+++ b/store/src/main/java/dev/zinniaring/store/CallTrace.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
--- a/platform/src/main/java/dev/zinniaring/platform/Fault.java
+++ b/store/src/main/java/dev/zinniaring/store/Fault.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** What goes wrong with one request. */
 public enum Fault {
--- a/platform/src/main/java/dev/zinniaring/platform/FaultRule.java
+++ b/store/src/main/java/dev/zinniaring/store/FaultRule.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** Decides on the fault of each request. Called by several threads. */
 @FunctionalInterface
--- a/platform/src/main/java/dev/zinniaring/platform/HttpObjectStore.java
+++ b/store/src/main/java/dev/zinniaring/store/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 import java.util.Optional;
 import okhttp3.HttpUrl;
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformBounds.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformBounds.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** Largest requests that the platform takes. */
 public final class PlatformBounds {
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformException.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformException.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** A request to the platform failed. The subclasses tell what the caller may conclude. */
 public class PlatformException extends Exception {
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformFaults.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformFaults.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.TokenBucket;
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformInvalidRequestException.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformInvalidRequestException.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** The platform rejected the request as malformed or too large; the request had no effect. */
 public final class PlatformInvalidRequestException extends PlatformException {
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformOutcomeUnknownException.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformOutcomeUnknownException.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** The answer to a write was lost; the write may have taken effect or may still do so. */
 public final class PlatformOutcomeUnknownException extends PlatformException {
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformThrottledException.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformThrottledException.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** The platform refused the request because of its rate limit; the request had no effect. */
 public final class PlatformThrottledException extends PlatformException {
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformUnavailableException.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformUnavailableException.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** The platform could not be reached or refused to work; the request had no effect. */
 public final class PlatformUnavailableException extends PlatformException {
--- a/platform/src/main/java/dev/zinniaring/platform/PlatformWire.java
+++ b/store/src/main/java/dev/zinniaring/store/PlatformWire.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/platform/src/main/java/dev/zinniaring/platform/RequestKind.java
+++ b/store/src/main/java/dev/zinniaring/store/RequestKind.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** The kinds of request that the platform takes, for counting, limits and faults. */
 public enum RequestKind {
--- a/platform/src/main/java/dev/zinniaring/platform/RequestObserver.java
+++ b/store/src/main/java/dev/zinniaring/store/RequestObserver.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /** Is told of each request to the platform, including repeats. Called by several threads. */
 public interface RequestObserver {
--- a/platform/src/main/java/dev/zinniaring/platform/Row.java
+++ b/store/src/main/java/dev/zinniaring/store/Row.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 /**
  * A row of the table service.
--- a/platform/src/test/java/dev/zinniaring/platform/MemoryPlatformTest.java
+++ b/store/src/test/java/dev/zinniaring/store/MemoryPlatformTest.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/platform/src/test/java/dev/zinniaring/platform/PlatformContract.java
+++ b/store/src/test/java/dev/zinniaring/store/PlatformContract.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.platform;
+package dev.zinniaring.store;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
