--- /dev/null
+++ b/calls/src/main/java/dev/zinniaring/calls/ClientLimits.java
@@ -0,0 +1,16 @@
+package dev.zinniaring.calls;
+
+/**
+ * What a client may send and how long it may take.
+ *
+ * @param maxHeaderBytes longest head of a request, in bytes
+ * @param maxBodyBytes longest body of a request, in bytes
+ * @param headerTimeoutMillis longest time that the head of a request may take, in milliseconds
+ * @param idleTimeoutMillis time after which an idle connection is closed, in milliseconds
+ */
+public record ClientLimits(
+        int maxHeaderBytes, int maxBodyBytes, int headerTimeoutMillis, int idleTimeoutMillis) {
+    /** Limits that hold until a configuration is known. */
+    public static final ClientLimits DEFAULT =
+            new ClientLimits(16 * 1024, 16 * 1024 * 1024, 5_000, 30_000);
+}
--- /dev/null
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -0,0 +1,270 @@
+package dev.zinniaring.calls;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.EndpointRecord;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** One call at its entry node, from its arrival to its only answer. */
+final class EntryCall {
+    private static final int SERVER_ERROR = 500;
+    private static final int FAILED = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int DEADLINE = 504;
+
+    /** Nodes that are asked for a place before the call is refused. */
+    private static final int MAX_PLACEMENTS = 4;
+
+    private static final long MILLI_NANOS = 1_000_000L;
+
+    private final EntryCalls calls;
+    private final Exchange exchange;
+    private final CallRoute route;
+    private final long version;
+    private final Clock clock;
+    private final String service;
+    private final String callId;
+    private final long deadlineNanos;
+    private final long targetNanos;
+    private final Set<String> tried = new HashSet<>();
+    private @Nullable Future<?> timer;
+    private @Nullable OwnerJob job;
+    private @Nullable EndpointRecord server;
+    private long sentNanos;
+    private int placements;
+    private int attempts;
+    private boolean mayHaveRun;
+    private String lastReason = "no-server";
+
+    EntryCall(EntryCalls calls, Exchange exchange, CallRoute route, long version) {
+        this.calls = calls;
+        this.exchange = exchange;
+        this.route = route;
+        this.version = version;
+        this.clock = calls.clock();
+        this.service = route.services().next();
+        HttpHeaders headers = exchange.headers();
+        this.callId = headers.get(calls.names().callId(), "");
+        long deadlineMillis = route.route().deadlineMillis();
+        long askedMillis =
+                HopHeaders.number(headers, calls.names().deadlineMillis(), deadlineMillis);
+        this.deadlineNanos =
+                exchange.arrivedNanos() + Math.min(askedMillis, deadlineMillis) * MILLI_NANOS;
+        this.targetNanos = exchange.arrivedNanos() + route.targetMillis() * MILLI_NANOS;
+        headers.set(calls.names().callerService(), calls.settings().service());
+        headers.remove(calls.names().expectedServer());
+    }
+
+    void begin() {
+        calls.budget().called(service);
+        long leftNanos = deadlineNanos - clock.nanos();
+        timer = calls.loop().schedule(this::timedOut, Math.max(0, leftNanos), TimeUnit.NANOSECONDS);
+        exchange.onCancel(this::cancelled);
+        place();
+    }
+
+    private void place() {
+        if (exchange.ended()) {
+            return;
+        }
+        EndpointRecord chosen =
+                placements >= MAX_PLACEMENTS
+                        ? null
+                        : calls.placement()
+                                .choose(calls.servers().of(service), tried, route, targetNanos);
+        if (chosen == null) {
+            giveUp();
+            return;
+        }
+        placements++;
+        tried.add(chosen.serverId());
+        server = chosen;
+        sentNanos = clock.nanos();
+        OwnerJob placed =
+                new OwnerJob(
+                        chosen.serverId(),
+                        exchange,
+                        callId,
+                        route.route().name(),
+                        route.rankOrder(),
+                        deadlineNanos,
+                        targetNanos,
+                        this::ended);
+        job = placed;
+        calls.placement().started(chosen);
+        if (chosen.callAddress().equals(calls.settings().peerAddress())) {
+            calls.owner().accept(placed);
+        } else {
+            calls.peers().send(placed, chosen, route);
+        }
+    }
+
+    private void ended(OwnerResult result) {
+        job = null;
+        EndpointRecord used = server;
+        if (used != null) {
+            calls.placement().ended(used, route, clock.nanos() - sentNanos, result);
+        }
+        if (exchange.ended()) {
+            return;
+        }
+        switch (result.outcome()) {
+            case RAN -> ran(result);
+            case NOT_RUN -> notRun(result);
+            case DECLINED -> declined(result);
+            default -> unknown(result);
+        }
+    }
+
+    private void ran(OwnerResult result) {
+        attempts++;
+        Answer answer = result.answer();
+        if (answer == null) {
+            unknown(result);
+            return;
+        }
+        if (answer.status() >= SERVER_ERROR && mayRepeat()) {
+            repeat("status-" + answer.status());
+            return;
+        }
+        HttpHeaders headers = new DefaultHttpHeaders();
+        HopHeaders.copyEndToEnd(answer.headers(), headers);
+        calls.counters().increment("answered");
+        finish(new Answer(answer.status(), headers, answer.body()));
+    }
+
+    private void notRun(OwnerResult result) {
+        lastReason = result.reason();
+        calls.counters().increment("placed_again");
+        place();
+    }
+
+    private void declined(OwnerResult result) {
+        attempts++;
+        lastReason = result.reason();
+        if (attempts < route.maxAttempts() && calls.budget().take(service)) {
+            repeat(result.reason());
+        } else {
+            giveUp();
+        }
+    }
+
+    private void unknown(OwnerResult result) {
+        attempts++;
+        mayHaveRun = true;
+        lastReason = result.reason();
+        if (mayRepeat()) {
+            repeat(result.reason());
+        } else {
+            giveUp();
+        }
+    }
+
+    private boolean mayRepeat() {
+        double leftNanos = deadlineNanos - clock.nanos();
+        return route.route().idempotent()
+                && attempts < route.maxAttempts()
+                && leftNanos > calls.placement().meanNanos(route) / 2
+                && calls.budget().take(service);
+    }
+
+    private void repeat(String reason) {
+        calls.counters().increment("repeated");
+        log("repeat", reason);
+        place();
+    }
+
+    private void giveUp() {
+        if (mayHaveRun) {
+            calls.counters().increment("failed");
+            log("failed", lastReason);
+            finish(refusal(FAILED));
+            return;
+        }
+        calls.counters().increment("refused");
+        log("refused", lastReason);
+        Answer refusal = refusal(UNAVAILABLE);
+        long nowNanos = clock.nanos();
+        refusal.headers()
+                .set(
+                        "Retry-After",
+                        RetryAfter.seconds(
+                                (targetNanos - nowNanos) / 1e6,
+                                (deadlineNanos - nowNanos) / 1e6,
+                                calls.placement().meanNanos(route) / 1e6,
+                                calls.random()));
+        finish(refusal);
+    }
+
+    private void timedOut() {
+        if (exchange.ended()) {
+            return;
+        }
+        boolean sent = job != null || mayHaveRun;
+        cancelJob();
+        calls.counters().increment("timed_out");
+        log("timed-out", lastReason);
+        finish(refusal(sent ? DEADLINE : UNAVAILABLE));
+    }
+
+    private Answer refusal(int status) {
+        Answer refusal = Answer.of(status);
+        refusal.headers().set(HopHeaders.OUTCOME, status == UNAVAILABLE ? "not-run" : "unknown");
+        refusal.headers().set(HopHeaders.REASON, lastReason);
+        return refusal;
+    }
+
+    private void cancelled() {
+        calls.counters().increment("callers_left");
+        cancelJob();
+        stopTimer();
+    }
+
+    private void cancelJob() {
+        OwnerJob running = job;
+        EndpointRecord used = server;
+        job = null;
+        if (running != null && used != null) {
+            calls.placement().ended(used, route, 0, null);
+            running.cancel();
+        }
+    }
+
+    private void finish(Answer answer) {
+        stopTimer();
+        exchange.answer(answer);
+    }
+
+    private void stopTimer() {
+        Future<?> pending = timer;
+        if (pending != null) {
+            pending.cancel(false);
+        }
+    }
+
+    private void log(String decision, String reason) {
+        EndpointRecord used = server;
+        calls.log()
+                .decided(
+                        decision,
+                        callId,
+                        route.route().name(),
+                        "reason",
+                        reason,
+                        "server",
+                        used == null ? "none" : used.serverId(),
+                        "attempts",
+                        attempts,
+                        "placements",
+                        placements,
+                        "version",
+                        version,
+                        "left_ms",
+                        (deadlineNanos - clock.nanos()) / MILLI_NANOS);
+    }
+}
--- /dev/null
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
@@ -0,0 +1,76 @@
+package dev.zinniaring.calls;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Takes the calls that entry nodes of other VMs send to the backend server beside this node. */
+public final class PeerCalls implements ExchangeHandler {
+    private static final int REFUSED = 503;
+    private static final int FAILED = 502;
+
+    /** Deadline of a call that comes without one. */
+    private static final long NO_DEADLINE_MILLIS = 60_000;
+
+    private final OwnerCalls owner;
+    private final HeaderNames names;
+
+    /** Creates the handler for calls of other nodes. */
+    public PeerCalls(OwnerCalls owner, HeaderNames names) {
+        this.owner = owner;
+        this.names = names;
+    }
+
+    /** Returns whether a request is a call of another node. */
+    public static boolean isCall(Exchange exchange) {
+        return exchange.headers().contains(HopHeaders.OWNER_HOP);
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        HttpHeaders headers = exchange.headers();
+        long leftMillis = HopHeaders.number(headers, names.deadlineMillis(), NO_DEADLINE_MILLIS);
+        long targetMillis = HopHeaders.number(headers, HopHeaders.TARGET, leftMillis);
+        long arrivedNanos = exchange.arrivedNanos();
+        OwnerJob job =
+                new OwnerJob(
+                        headers.get(HopHeaders.OWNER_HOP, ""),
+                        exchange,
+                        headers.get(names.callId(), ""),
+                        headers.get(HopHeaders.ROUTE, ""),
+                        (int) HopHeaders.number(headers, HopHeaders.RANK, 0),
+                        arrivedNanos + leftMillis * 1_000_000L,
+                        arrivedNanos + targetMillis * 1_000_000L,
+                        result -> exchange.answer(encode(result)));
+        exchange.onCancel(job::cancel);
+        owner.accept(job);
+    }
+
+    private static Answer encode(OwnerResult result) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HopHeaders.OUTCOME, result.outcome().word());
+        ServerLoad load = result.load();
+        if (load != null) {
+            headers.set(HopHeaders.LOAD, load.encode());
+        }
+        Answer answer = result.answer();
+        if (answer != null) {
+            HopHeaders.copyEndToEnd(answer.headers(), headers);
+            return new Answer(answer.status(), headers, answer.body());
+        }
+        headers.set(HopHeaders.REASON, result.reason());
+        int status = result.outcome() == OwnerResult.Outcome.UNKNOWN ? FAILED : REFUSED;
+        return new Answer(status, headers, new byte[0]);
+    }
+
+    /** Decodes what {@link #encode} wrote. */
+    static OwnerResult decode(Answer answer) {
+        OwnerResult.Outcome outcome =
+                OwnerResult.Outcome.of(answer.headers().get(HopHeaders.OUTCOME));
+        ServerLoad load = ServerLoad.decode(answer.headers().get(HopHeaders.LOAD));
+        if (outcome == OwnerResult.Outcome.RAN) {
+            return new OwnerResult(outcome, "", answer, load);
+        }
+        return new OwnerResult(
+                outcome, answer.headers().get(HopHeaders.REASON, "no-reason"), null, load);
+    }
+}
--- /dev/null
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -0,0 +1,219 @@
+package dev.zinniaring.calls;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.EndpointRecord;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Sends calls to the nodes beside other backend servers, and learns which nodes do not answer. A
+ * node that is silent while it has calls is asked for a sign of life; without one it is suspected,
+ * and the calls that may be repeated are given up.
+ */
+public final class PeerSender {
+    /**
+     * A new connection to a node of another zone takes some 10 ms; a lost packet costs a second.
+     */
+    private static final int CONNECT_MILLIS = 150;
+
+    /** Kept connections to nodes are used if they were idle for at most this long. */
+    private static final int MAX_IDLE_MILLIS = 6_000;
+
+    private static final long ANSWER_GRACE_MILLIS = 150;
+
+    /** A node with calls that has not been heard for this long is asked for a sign of life. */
+    private static final long QUIET_NANOS = 350_000_000L;
+
+    private static final int SIGN_MILLIS = 350;
+
+    /** A suspected node is asked this often. */
+    private static final long SUSPECT_PERIOD_NANOS = 500_000_000L;
+
+    private final HttpSender sender;
+    private final HeaderNames names;
+    private final Clock clock;
+    private final CallCounters counters;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Outbound sign = signOfLife(new DefaultHttpHeaders());
+
+    /** Creates a sender of calls. */
+    public PeerSender(HttpSender sender, HeaderNames names, Clock clock, CallCounters counters) {
+        this.sender = sender;
+        this.names = names;
+        this.clock = clock;
+        this.counters = counters;
+    }
+
+    private static Outbound signOfLife(HttpHeaders headers) {
+        return new Outbound("GET", "/alive", headers, new byte[0], SIGN_MILLIS, SIGN_MILLIS, 0, "");
+    }
+
+    /** Returns whether a node has not answered for a while. */
+    boolean suspected(String callAddress) {
+        Peer peer = peers.get(callAddress);
+        return peer != null && peer.suspected;
+    }
+
+    /** Sends a job to the node beside a server; the job ends with a result. */
+    void send(OwnerJob job, EndpointRecord server, CallRoute route) {
+        Peer peer = peers.computeIfAbsent(server.callAddress(), Peer::new);
+        Flight flight = new Flight(job, peer, route.route().idempotent());
+        peer.flights.add(flight);
+        flight.sending = sender.send(peer.address, request(job), flight);
+        job.onCancel(flight::cancel);
+    }
+
+    private Outbound request(OwnerJob job) {
+        Exchange exchange = job.exchange();
+        long nowNanos = clock.nanos();
+        long leftMillis = Math.max(1, (job.deadlineNanos() - nowNanos) / 1_000_000L);
+        HttpHeaders headers = new DefaultHttpHeaders();
+        HopHeaders.copyEndToEnd(exchange.headers(), headers);
+        headers.set(names.deadlineMillis(), leftMillis);
+        headers.set(HopHeaders.OWNER_HOP, job.serverId());
+        headers.set(HopHeaders.RANK, job.rankOrder());
+        headers.set(HopHeaders.ROUTE, job.routeName());
+        headers.set(HopHeaders.TARGET, (job.targetNanos() - nowNanos) / 1_000_000L);
+        headers.set(HttpHeaderNames.CONNECTION, "keep-alive");
+        return new Outbound(
+                exchange.method(),
+                exchange.target(),
+                headers,
+                exchange.body(),
+                leftMillis + ANSWER_GRACE_MILLIS,
+                CONNECT_MILLIS,
+                MAX_IDLE_MILLIS,
+                "");
+    }
+
+    /** Asks quiet nodes for a sign of life; to be called some ten times a second. */
+    public void sweep() {
+        long nowNanos = clock.nanos();
+        for (Peer peer : List.copyOf(peers.values())) {
+            peer.check(nowNanos);
+        }
+        peers.values().removeIf(peer -> peer.flights.isEmpty() && !peer.suspected);
+    }
+
+    /** Notes that a node has been heard by other means. */
+    public void heard(String callAddress) {
+        Peer peer = peers.get(callAddress);
+        if (peer != null) {
+            peer.heard();
+        }
+    }
+
+    private final class Peer {
+        private final InetSocketAddress address;
+        private final Set<Flight> flights = new HashSet<>();
+        private long heardNanos = clock.nanos();
+        private long askedNanos = clock.nanos() - SUSPECT_PERIOD_NANOS;
+        private boolean asking;
+        private boolean suspected;
+
+        Peer(String callAddress) {
+            address = Addresses.parse(callAddress);
+        }
+
+        void heard() {
+            heardNanos = clock.nanos();
+            suspected = false;
+        }
+
+        void check(long nowNanos) {
+            boolean quiet = !flights.isEmpty() && nowNanos - heardNanos > QUIET_NANOS;
+            boolean due = suspected && nowNanos - askedNanos > SUSPECT_PERIOD_NANOS;
+            if (asking || (!quiet && !due)) {
+                return;
+            }
+            asking = true;
+            askedNanos = nowNanos;
+            sender.send(address, sign, new Sign(this));
+        }
+
+        void suspect() {
+            if (!suspected) {
+                suspected = true;
+                counters.increment("peers_suspected");
+                sender.forget(address);
+            }
+            for (Flight flight : new ArrayList<>(flights)) {
+                if (flight.repeatable) {
+                    flight.giveUp();
+                }
+            }
+        }
+    }
+
+    private final class Sign implements SendListener {
+        private final Peer peer;
+        private final long askedNanos = clock.nanos();
+
+        Sign(Peer peer) {
+            this.peer = peer;
+        }
+
+        @Override
+        public void answered(Answer answer) {
+            peer.asking = false;
+            peer.heard();
+        }
+
+        @Override
+        public void failed(SendFailure failure, String reason) {
+            peer.asking = false;
+            if (peer.heardNanos - askedNanos <= 0) {
+                peer.suspect();
+            }
+        }
+    }
+
+    private final class Flight implements SendListener {
+        private final OwnerJob job;
+        private final Peer peer;
+        private final boolean repeatable;
+        private HttpSender.Sending sending = () -> {};
+
+        Flight(OwnerJob job, Peer peer, boolean repeatable) {
+            this.job = job;
+            this.peer = peer;
+            this.repeatable = repeatable;
+        }
+
+        void cancel() {
+            peer.flights.remove(this);
+            sending.cancel();
+        }
+
+        void giveUp() {
+            peer.flights.remove(this);
+            sending.cancel();
+            job.end(OwnerResult.unknown("peer-silent", null));
+        }
+
+        @Override
+        public void answered(Answer answer) {
+            peer.flights.remove(this);
+            peer.heard();
+            job.end(PeerCalls.decode(answer));
+        }
+
+        @Override
+        public void failed(SendFailure failure, String reason) {
+            peer.flights.remove(this);
+            if (failure == SendFailure.NOT_SENT) {
+                job.end(OwnerResult.notRun("peer-unreachable", null));
+            } else {
+                job.end(OwnerResult.unknown("peer-" + reason, null));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -0,0 +1,446 @@
+package dev.zinniaring.sidecar;
+
+import dev.zinniaring.calls.Answer;
+import dev.zinniaring.calls.CallCounters;
+import dev.zinniaring.calls.ClientLimits;
+import dev.zinniaring.calls.Configuration;
+import dev.zinniaring.calls.EntryCalls;
+import dev.zinniaring.calls.EntrySettings;
+import dev.zinniaring.calls.Exchange;
+import dev.zinniaring.calls.ExchangeHandler;
+import dev.zinniaring.calls.HeaderNames;
+import dev.zinniaring.calls.HttpListener;
+import dev.zinniaring.calls.HttpSender;
+import dev.zinniaring.calls.OwnerCalls;
+import dev.zinniaring.calls.PeerCalls;
+import dev.zinniaring.calls.PeerSender;
+import dev.zinniaring.calls.ServerSettings;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.EndpointState;
+import dev.zinniaring.store.RowPage;
+import dev.zinniaring.store.RowStore;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The process beside a backend server, without what is particular to a platform: it follows the
+ * store, keeps the list of backend servers, and carries calls. Everything runs on one event loop;
+ * documents of operators are read on another thread.
+ */
+public final class Sidecar {
+    /** Table with a row for each node. */
+    static final String NODES = "zinniaring-nodes";
+
+    private static final Logger log = LoggerFactory.getLogger("node");
+
+    /** The store holds a question for changes for at most this long. */
+    private static final Duration FEED_WAIT = Duration.ofSeconds(20);
+
+    /** Changes of the configuration that come within this time are read together. */
+    private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(300);
+
+    /** The same for the list of backend servers. */
+    private static final Duration NODES_PAUSE = Duration.ofMillis(250);
+
+    private static final Duration SWEEP_PERIOD = Duration.ofMillis(100);
+    private static final Duration GOSSIP_PERIOD = Duration.ofMillis(500);
+
+    /** A backend server that has not announced itself by then is asked who it is. */
+    private static final Duration PROBE_DELAY = Duration.ofMillis(400);
+
+    /** The list of backend servers may be missing for this long before the node takes calls. */
+    private static final Duration FIRST_LIST = Duration.ofSeconds(2);
+
+    private final SidecarSettings settings;
+    private final RowStore store;
+    private final StoreTables tables;
+    private final Clock clock;
+    private final EventLoop loop;
+    private final EventLoopGroup group;
+    private final LoopScheduler scheduler;
+    private final RandomGenerator random;
+    private final HttpSender sender;
+    private final CallCounters counters;
+    private final Versions versions;
+    private final OwnServer server;
+    private final ServerDirectory directory = new ServerDirectory();
+    private final OwnerCalls owner;
+    private final PeerSender peers;
+    private final EntryCalls entry;
+    private final PeerCalls peerCalls;
+    private final HttpListener callListener;
+    private final HttpListener peerListener;
+    private final TableFollower configurationTable;
+    private final TableFollower nodesTable;
+    private final RecordWriter writer;
+    private final PeerGossip gossip;
+    private final ServerProbe probe;
+    private final Shutdown shutdown;
+    private final Executor reading;
+    private long incarnation;
+    private long sequence;
+    private @Nullable EndpointRecord own;
+    private boolean listed;
+    private long startNanos;
+
+    /** What a platform brings: where things are kept, and what the bytes and headers mean. */
+    public record StoreTables(
+            String configurationTable, String configurationKey, ConfigurationReader reader) {}
+
+    /**
+     * Puts a process together.
+     *
+     * @param group an event loop group of one thread
+     * @param reading runs what takes long
+     */
+    public Sidecar(
+            SidecarSettings settings,
+            RowStore store,
+            StoreTables tables,
+            HeaderNames names,
+            EventLoopGroup group,
+            Executor reading,
+            HttpSender sender,
+            Clock clock,
+            RandomGenerator random) {
+        this.settings = settings;
+        this.store = store;
+        this.tables = tables;
+        this.clock = clock;
+        this.group = group;
+        this.reading = reading;
+        this.loop = group.next();
+        this.scheduler = new LoopScheduler(loop);
+        this.random = random;
+        this.sender = sender;
+        this.counters = new CallCounters();
+        this.versions = new Versions(tables.reader());
+        this.server = new OwnServer(settings.service(), settings.server(), this::serverSettings);
+        this.owner = new OwnerCalls(sender, names, clock, counters, server::local);
+        this.peers = new PeerSender(sender, names, clock, counters);
+        this.entry = entryCalls(names);
+        this.peerCalls = new PeerCalls(owner, names);
+        this.callListener = listener(entry);
+        this.peerListener = listener(this::fromPeer);
+        this.configurationTable =
+                follower(tables.configurationTable(), CONFIGURATION_PAUSE, this::configurationRows);
+        this.nodesTable = follower(NODES, NODES_PAUSE, this::nodeRows);
+        this.writer = new RecordWriter(store, NODES, settings.nodeId(), scheduler, random);
+        this.gossip =
+                new PeerGossip(
+                        sender,
+                        clock,
+                        random,
+                        versions,
+                        directory,
+                        this::digest,
+                        this::peerAddress,
+                        settings.zone(),
+                        this::behind);
+        this.probe = new ServerProbe(sender, names, settings.server());
+        this.shutdown = new Shutdown(settings, clock, scheduler, this::inFlight);
+        this.incarnation = clock.now().toEpochMilli();
+    }
+
+    private EntryCalls entryCalls(HeaderNames names) {
+        EntrySettings entrySettings =
+                new EntrySettings(
+                        settings.zone(),
+                        settings.service(),
+                        peerAddress(),
+                        settings.repeatRatio(),
+                        settings.repeatAllowance(),
+                        settings.repeatWindow());
+        return EntryCalls.builder(entrySettings)
+                .names(names)
+                .clock(clock)
+                .random(random)
+                .loop(loop)
+                .owner(owner)
+                .peers(peers)
+                .counters(counters)
+                .configurations(versions::inForce)
+                .servers(directory::servers)
+                .build();
+    }
+
+    private HttpListener listener(ExchangeHandler handler) {
+        return new HttpListener(group, clock, this::limits, handler);
+    }
+
+    private TableFollower follower(
+            String table, Duration pause, BiConsumer<RowPage, Boolean> pages) {
+        return new TableFollower(store, table, scheduler, clock, random, FEED_WAIT, pause, pages);
+    }
+
+    private ClientLimits limits() {
+        Configuration now = versions.inForce();
+        return now == null ? ClientLimits.DEFAULT : now.limits();
+    }
+
+    private ServerSettings serverSettings() {
+        Configuration now = versions.inForce();
+        return now == null
+                ? new ServerSettings("/health", Integer.MAX_VALUE)
+                : now.server(settings.service());
+    }
+
+    private String peerAddress() {
+        InetSocketAddress address = settings.peerCalls();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /**
+     * Opens the ports and begins to follow the store.
+     *
+     * @throws KernelException if a port cannot be opened
+     */
+    public void start() throws KernelException {
+        startNanos = clock.nanos();
+        owner.onMisdirected(this::serverMisdirected);
+        callListener.start(settings.calls());
+        peerListener.start(settings.peerCalls());
+        scheduler.execute(configurationTable::start);
+        scheduler.execute(nodesTable::start);
+        scheduler.every(SWEEP_PERIOD, this::sweep);
+        scheduler.every(GOSSIP_PERIOD, gossip::tick);
+        scheduler.after(PROBE_DELAY, this::probeServer);
+        log.info(
+                "started node={} zone={} service={} server={}",
+                settings.nodeId(),
+                settings.zone(),
+                settings.service(),
+                settings.server());
+    }
+
+    private void sweep() {
+        peers.sweep();
+        owner.pump();
+        sender.sweep();
+    }
+
+    private void serverMisdirected() {
+        log.warn("another backend server answers at address={}", settings.server());
+        server.forget();
+        probe.reset();
+        scheduler.execute(this::probeServer);
+    }
+
+    private void probeServer() {
+        if (server.latest() != null || shutdown.begun()) {
+            return;
+        }
+        if (versions.inForce() == null) {
+            scheduler.after(PROBE_DELAY, this::probeServer);
+            return;
+        }
+        probe.ask(
+                serverSettings().healthPath(),
+                found -> {
+                    if (server.probed(found.serverId(), found.slots())) {
+                        log.info("found by its health check server={}", found.serverId());
+                        publish();
+                    }
+                });
+    }
+
+    private void configurationRows(RowPage page, boolean whole) {
+        for (RowPage.TableRow row : page.rows()) {
+            if (row.key().equals(tables.configurationKey()) && !row.deleted()) {
+                reading.execute(() -> versions.offer(row.value(), "store"));
+            }
+        }
+    }
+
+    private void nodeRows(RowPage page, boolean whole) {
+        for (RowPage.TableRow row : page.rows()) {
+            if (row.key().equals(settings.nodeId())) {
+                writer.seen(row.revision());
+            }
+            if (row.deleted()) {
+                directory.remove(row.key());
+            } else {
+                merge(row);
+            }
+        }
+        listed = true;
+    }
+
+    private void merge(RowPage.TableRow row) {
+        try {
+            List<EndpointRecord> records = RecordCodec.decode(row.value());
+            directory.merge(records);
+            records.forEach(this::checkIncarnation);
+        } catch (SidecarException e) {
+            log.warn("refused row key={} cause=\"{}\"", row.key(), e.getMessage());
+        }
+    }
+
+    /** A clock that was set back must not make this life look older than an earlier one. */
+    private void checkIncarnation(EndpointRecord record) {
+        if (record.nodeId().equals(settings.nodeId()) && record.incarnation() > incarnation) {
+            incarnation = record.incarnation() + 1;
+            publish();
+        }
+    }
+
+    private Digest digest() {
+        EndpointRecord record = own;
+        return new Digest(
+                versions.number(),
+                nodesTable.revision(),
+                record == null ? List.of() : List.of(record));
+    }
+
+    private void behind(String what) {
+        log.info("a peer has news that the store has not brought what={}", what);
+        counters.increment("behind_peers");
+        if (what.equals("version") && configurationTable.current()) {
+            configurationTable.restart();
+        }
+        if (what.equals("servers") && nodesTable.current()) {
+            nodesTable.restart();
+        }
+    }
+
+    private void fromPeer(Exchange exchange) {
+        if (PeerCalls.isCall(exchange)) {
+            peerCalls.handle(exchange);
+        } else if (exchange.path().equals("/alive")) {
+            exchange.answer(Answer.of(200));
+        } else {
+            gossip.handle(exchange);
+        }
+    }
+
+    /** Takes an announcement; returns whether it was one of this VM's backend server. */
+    public boolean announced(Announcement announcement) {
+        OwnServer.Change change = server.announced(announcement);
+        return applied(change, announcement.serverId());
+    }
+
+    /** Takes the withdrawal of a backend server; returns whether it is this VM's. */
+    public boolean withdrawn(String serverId, Optional<Long> bornMillis) {
+        return applied(server.withdrawn(serverId, bornMillis), serverId);
+    }
+
+    private boolean applied(OwnServer.Change change, String serverId) {
+        if (change == OwnServer.Change.REFUSED) {
+            counters.increment("announcements_refused");
+            log.info("refused an announcement server={}", serverId);
+            return false;
+        }
+        if (change == OwnServer.Change.NONE) {
+            return true;
+        }
+        Announcement known = server.latest();
+        log.info(
+                "backend server changed server={} change={} leaving={}",
+                serverId,
+                change,
+                known != null && known.leaving());
+        if (change == OwnServer.Change.LIFE) {
+            owner.serverReplaced();
+        }
+        if (known != null && known.leaving()) {
+            owner.refuseWaiting("leaving");
+        }
+        publish();
+        return true;
+    }
+
+    /** Makes this node's record known. */
+    private void publish() {
+        Announcement known = server.latest();
+        if (known == null && !shutdown.begun()) {
+            return;
+        }
+        EndpointRecord record = record(known);
+        own = record;
+        directory.merge(List.of(record));
+        writer.write(record);
+    }
+
+    private EndpointRecord record(@Nullable Announcement known) {
+        sequence++;
+        return new EndpointRecord(
+                known == null ? "" : known.serverId(),
+                settings.service(),
+                settings.nodeId(),
+                settings.zone(),
+                peerAddress(),
+                incarnation,
+                sequence,
+                known == null ? 1 : known.slots(),
+                serverSettings().maxConnections(),
+                state(known),
+                known == null ? 0 : (int) known.coldMillis());
+    }
+
+    private EndpointState state(@Nullable Announcement known) {
+        if (shutdown.begun() || known == null) {
+            return EndpointState.GONE;
+        }
+        if (known.leaving()) {
+            return EndpointState.DRAINING;
+        }
+        return known.coldMillis() > 0 ? EndpointState.WARMING : EndpointState.READY;
+    }
+
+    /** Returns whether clients may send calls here. */
+    public boolean ready() {
+        boolean listedOrLate = listed || clock.since(startNanos).compareTo(FIRST_LIST) > 0;
+        return versions.inForce() != null && listedOrLate && !shutdown.begun();
+    }
+
+    /** Leaves the mesh, lets calls end, and then runs an action; may be called from any thread. */
+    public void shutDown(Runnable then) {
+        scheduler.execute(
+                () -> {
+                    if (shutdown.begun()) {
+                        return;
+                    }
+                    log.info("leaving node={} in_flight={}", settings.nodeId(), inFlight());
+                    callListener.drain();
+                    peerListener.drain();
+                    shutdown.begin(() -> owner.refuse("node-leaving"), then);
+                    publish();
+                });
+    }
+
+    private int inFlight() {
+        return callListener.inFlight() + peerListener.inFlight();
+    }
+
+    /** Returns the counters of calls. */
+    public CallCounters counters() {
+        return counters;
+    }
+
+    /** Returns the state of the process. Runs on the event loop. */
+    public SidecarState state() {
+        return new SidecarState(
+                settings.nodeId(),
+                ready(),
+                versions.number(),
+                nodesTable.revision(),
+                configurationTable.current(),
+                String.valueOf(server.latest()),
+                owner.running(),
+                owner.waiting(),
+                callListener.connections(),
+                directory.records());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/TableFollower.java
@@ -0,0 +1,142 @@
+package dev.zinniaring.sidecar;
+
+import dev.zinniaring.kernel.BackOff;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.Scheduler;
+import dev.zinniaring.store.HistoryLostException;
+import dev.zinniaring.store.RowPage;
+import dev.zinniaring.store.RowStore;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows a table of the store: lists it, then waits for changes, and starts over after a loss of
+ * history. All of it runs on the scheduler's thread.
+ */
+final class TableFollower {
+    private static final Logger log = LoggerFactory.getLogger("store");
+    private static final Duration FIRST_RETRY = Duration.ofMillis(100);
+    private static final Duration LONGEST_RETRY = Duration.ofMillis(1_000);
+
+    private final RowStore store;
+    private final String table;
+    private final Scheduler scheduler;
+    private final Clock clock;
+    private final Duration wait;
+    private final Duration pause;
+    private final BiConsumer<RowPage, Boolean> pages;
+    private final BackOff backOff;
+    private long revision = -1;
+    private boolean lost = true;
+    private boolean stopped;
+    private long answeredNanos;
+    private int round;
+
+    /**
+     * Creates a follower.
+     *
+     * @param wait longest time that the store holds a question for changes
+     * @param pause time between an answer and the next question, in which changes add up
+     * @param pages takes each page, and whether it is a whole list
+     */
+    TableFollower(
+            RowStore store,
+            String table,
+            Scheduler scheduler,
+            Clock clock,
+            RandomGenerator random,
+            Duration wait,
+            Duration pause,
+            BiConsumer<RowPage, Boolean> pages) {
+        this.store = store;
+        this.table = table;
+        this.scheduler = scheduler;
+        this.clock = clock;
+        this.wait = wait;
+        this.pause = pause;
+        this.pages = pages;
+        this.backOff = new BackOff(FIRST_RETRY, LONGEST_RETRY, random);
+        this.answeredNanos = clock.nanos();
+    }
+
+    void start() {
+        ask(round);
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    /** Asks anew, since the connection of the running question may have gone silent. */
+    void restart() {
+        round++;
+        ask(round);
+    }
+
+    /** Returns whether the store has answered, and the last question did not fail. */
+    boolean current() {
+        return !lost;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    long answeredNanos() {
+        return answeredNanos;
+    }
+
+    private void ask(int asked) {
+        if (stopped || asked != round) {
+            return;
+        }
+        boolean whole = revision < 0;
+        (whole ? store.list(table) : store.feed(table, revision, wait))
+                .whenComplete(
+                        (page, failure) ->
+                                scheduler.execute(() -> answered(asked, page, failure, whole)));
+    }
+
+    private void answered(
+            int asked, @Nullable RowPage page, @Nullable Throwable failure, boolean whole) {
+        if (stopped || asked != round) {
+            return;
+        }
+        if (page == null) {
+            failed(asked, failure);
+            return;
+        }
+        if (lost) {
+            lost = false;
+            log.info("store regained table={} revision={}", table, page.revision());
+        }
+        backOff.reset();
+        answeredNanos = clock.nanos();
+        revision = Math.max(revision, page.revision());
+        pages.accept(page, whole);
+        scheduler.after(pause, () -> ask(asked));
+    }
+
+    private void failed(int asked, @Nullable Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        if (cause instanceof HistoryLostException) {
+            log.info("store dropped its history table={} revision={}", table, revision);
+            revision = -1;
+            ask(asked);
+            return;
+        }
+        if (!lost) {
+            lost = true;
+            log.warn("store lost table={} cause=\"{}\"", table, String.valueOf(cause));
+        }
+        scheduler.after(backOff.next(), () -> ask(asked));
+    }
+}
--- /dev/null
+++ b/store/src/main/java/dev/zinniaring/store/RowConflictException.java
@@ -0,0 +1,23 @@
+package dev.zinniaring.store;
+
+/** A row did not have the expected revision, so that nothing was written. */
+public final class RowConflictException extends PlatformException {
+    private static final long serialVersionUID = 1L;
+
+    private final long revision;
+
+    /**
+     * Creates the exception.
+     *
+     * @param revision the revision that the row has, 0 if it does not exist
+     */
+    public RowConflictException(String message, long revision) {
+        super(message);
+        this.revision = revision;
+    }
+
+    /** Returns the revision that the row has. */
+    public long revision() {
+        return revision;
+    }
+}
