Keep slots for urgent calls, and use a server at first sight

And each node's first look at a backend server took it for one to be avoided, as its record was made after the time that it was compared with.

Within a rank the earliest target goes first.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -15,6 +15,7 @@
 public final class EntryCalls implements ExchangeHandler {
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
+    private static final String LEAVING_RETRY_SECONDS = "0.02";
     private static final String NO_CONFIGURATION_RETRY_SECONDS = "0.2";
 
     private final EntrySettings settings;
@@ -30,6 +31,7 @@
     private final Placement placement;
     private final RepeatBudget budget;
     private final CallLog log;
+    private boolean leaving;
 
     private EntryCalls(Builder builder) {
         settings = builder.settings;
@@ -61,13 +63,13 @@
     @Override
     public void handle(Exchange exchange) {
         counters.increment("calls");
+        if (leaving) {
+            refuse(exchange, "node-leaving", LEAVING_RETRY_SECONDS);
+            return;
+        }
         Configuration configuration = configurations.get();
         if (configuration == null) {
-            counters.increment("refused_no_configuration");
-            Answer refusal = Answer.of(UNAVAILABLE);
-            refusal.headers().set("Retry-After", NO_CONFIGURATION_RETRY_SECONDS);
-            refusal.headers().set(HopHeaders.REASON, "no-configuration");
-            exchange.answer(refusal);
+            refuse(exchange, "no-configuration", NO_CONFIGURATION_RETRY_SECONDS);
             return;
         }
         CallRoute route = configuration.routes().find(exchange.host(), exchange.path());
@@ -87,6 +89,19 @@
         new EntryCall(this, exchange, route, configuration.number()).begin();
     }
 
+    private void refuse(Exchange exchange, String reason, String retrySeconds) {
+        counters.increment("refused_" + reason.replace('-', '_'));
+        Answer refusal = Answer.of(UNAVAILABLE);
+        refusal.headers().set("Retry-After", retrySeconds);
+        refusal.headers().set(HopHeaders.REASON, reason);
+        exchange.answer(refusal);
+    }
+
+    /** Refuses new calls from now on, since the process ends before they would. */
+    public void leave() {
+        leaving = true;
+    }
+
     /** Forgets what was seen of servers that are gone; to be called now and then. */
     public void forgetGone() {
         placement.retain(servers.get()::knows);
--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -17,6 +17,9 @@
     /** Name of the call's route, which groups run times. */
     static final String ROUTE = "Zinniaring-Route";
 
+    /** Target that the route declares, in milliseconds. */
+    static final String ROUTE_TARGET = "Zinniaring-Route-Target-Ms";
+
     /** Time left until the call's target, in milliseconds; below 0 once the target has passed. */
     static final String TARGET = "Zinniaring-Target-Ms";
 
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -39,6 +39,7 @@
     private final Supplier<@Nullable LocalServer> servers;
     private final SlotQueue<OwnerJob> queue = new SlotQueue<>();
     private final Set<Run> running = new HashSet<>();
+    private final ExpressLane lane = new ExpressLane();
     private final RunTimes runTimes = new RunTimes();
     private Runnable misdirected = () -> {};
     private long runningNanos;
@@ -114,7 +115,10 @@
             job.end(OwnerResult.notRun(refusal == null ? "no-server" : refusal, load()));
             return;
         }
-        if (running.size() < slots(server) && queue.size() == 0) {
+        long nowNanos = clock.nanos();
+        boolean express = express(job, nowNanos);
+        int usable = express ? slots(server) : lane.commonSlots(slots(server));
+        if (running.size() < usable && (express || queue.size() == 0)) {
             new Run(job, server).start();
             return;
         }
@@ -123,12 +127,13 @@
                         job,
                         new SlotQueue.Demand(
                                 job.rankOrder(),
+                                express,
                                 expectedNanos(job),
                                 job.targetNanos(),
                                 job.deadlineNanos()),
-                        slots(server),
+                        usable,
                         runningNanos,
-                        clock.nanos());
+                        nowNanos);
         if (entry == null) {
             counters.increment("owner_full");
             job.end(OwnerResult.notRun("full", load()));
@@ -137,6 +142,10 @@
         job.onCancel(() -> queue.remove(entry));
     }
 
+    private boolean express(OwnerJob job, long nowNanos) {
+        return lane.admit(job.rankOrder(), job.routeTargetMillis(), nowNanos);
+    }
+
     private @Nullable String refusal(OwnerJob job, @Nullable LocalServer server) {
         if (server == null) {
             return "no-server";
@@ -174,7 +183,8 @@
             if (server == null || running.size() >= slots(server)) {
                 return;
             }
-            OwnerJob next = queue.poll(nowNanos);
+            boolean expressOnly = running.size() >= lane.commonSlots(slots(server));
+            OwnerJob next = queue.poll(expressOnly, nowNanos);
             if (next == null) {
                 return;
             }
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
@@ -8,6 +8,7 @@
     private final Exchange exchange;
     private final String callId;
     private final String routeName;
+    private final long routeTargetMillis;
     private final int rankOrder;
     private final long deadlineNanos;
     private final long targetNanos;
@@ -29,6 +30,7 @@
             Exchange exchange,
             String callId,
             String routeName,
+            long routeTargetMillis,
             int rankOrder,
             long deadlineNanos,
             long targetNanos,
@@ -37,6 +39,7 @@
         this.exchange = exchange;
         this.callId = callId;
         this.routeName = routeName;
+        this.routeTargetMillis = routeTargetMillis;
         this.rankOrder = rankOrder;
         this.deadlineNanos = deadlineNanos;
         this.targetNanos = targetNanos;
@@ -59,6 +62,11 @@
         return routeName;
     }
 
+    /** Returns the target that the route declares, in milliseconds. */
+    long routeTargetMillis() {
+        return routeTargetMillis;
+    }
+
     int rankOrder() {
         return rankOrder;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
@@ -37,6 +37,7 @@
                         exchange,
                         headers.get(names.callId(), ""),
                         headers.get(HopHeaders.ROUTE, ""),
+                        HopHeaders.number(headers, HopHeaders.ROUTE_TARGET, leftMillis),
                         (int) HopHeaders.number(headers, HopHeaders.RANK, 0),
                         arrivedNanos + leftMillis * 1_000_000L,
                         arrivedNanos + targetMillis * 1_000_000L,
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -81,6 +81,7 @@
         headers.set(HopHeaders.OWNER_HOP, job.serverId());
         headers.set(HopHeaders.RANK, job.rankOrder());
         headers.set(HopHeaders.ROUTE, job.routeName());
+        headers.set(HopHeaders.ROUTE_TARGET, job.routeTargetMillis());
         headers.set(HopHeaders.TARGET, (job.targetNanos() - nowNanos) / 1_000_000L);
         headers.set(HttpHeaderNames.CONNECTION, "keep-alive");
         return new Outbound(
--- a/calls/src/main/java/dev/zinniaring/calls/Placement.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Placement.java
@@ -73,7 +73,7 @@
             boolean own = server.zone().equals(zone);
             if (tried.contains(server.serverId())
                     || (!own && remote.count >= MAX_REMOTE)
-                    || stats(server).avoided(nowNanos)
+                    || stats(server, nowNanos).avoided(nowNanos)
                     || unreachable.test(server)) {
                 continue;
             }
@@ -92,7 +92,7 @@
 
     private double costNanos(
             EndpointRecord server, double meanNanos, double targetNanos, long nowNanos) {
-        ServerStats seen = stats(server);
+        ServerStats seen = stats(server, nowNanos);
         double runNanos = meanNanos * seen.slowness();
         if (server.state() == EndpointState.WARMING) {
             runNanos *= COLD_FACTOR;
@@ -114,7 +114,7 @@
     }
 
     void started(EndpointRecord server) {
-        stats(server).started();
+        stats(server, clock.nanos()).started();
     }
 
     /** Takes the result of a call. */
@@ -124,7 +124,7 @@
             long elapsedNanos,
             @Nullable OwnerResult result) {
         long nowNanos = clock.nanos();
-        ServerStats seen = stats(server);
+        ServerStats seen = stats(server, nowNanos);
         seen.ended(result == null ? null : result.load(), nowNanos);
         if (result == null) {
             return;
@@ -159,8 +159,8 @@
         }
     }
 
-    private ServerStats stats(EndpointRecord server) {
-        return stats.computeIfAbsent(server.serverId(), id -> new ServerStats(clock.nanos()));
+    private ServerStats stats(EndpointRecord server, long nowNanos) {
+        return stats.computeIfAbsent(server.serverId(), id -> new ServerStats(nowNanos));
     }
 
     /** Forgets servers that are gone. */
--- a/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
@@ -12,7 +12,8 @@
  * they could not be answered in time. It answers floods: a call that would wait in vain is refused
  * as it comes, so that its caller can go elsewhere.
  *
- * <p>The most urgent rank goes first, and within a rank the call that came first.
+ * <p>The most urgent rank goes first, and within a rank the call whose target comes first. So short
+ * calls that other backend servers wait for are not held up by long ones.
  *
  * @param <T> what waits
  */
@@ -24,7 +25,8 @@
     private static final double LATE_WAIT_SHARE = 0.25;
 
     private static final Comparator<Entry<?>> ORDER =
-            Comparator.<Entry<?>>comparingInt(entry -> entry.rankOrder)
+            Comparator.<Entry<?>>comparingInt(entry -> entry.demand.rankOrder())
+                    .thenComparingLong(entry -> entry.demand.targetNanos())
                     .thenComparingLong(entry -> entry.number);
 
     private final TreeSet<Entry<T>> waiting = new TreeSet<>(ORDER);
@@ -33,17 +35,13 @@
     /** A waiting call. */
     static final class Entry<T> {
         private final T item;
-        private final int rankOrder;
+        private final Demand demand;
         private final long number;
-        private final long expectedNanos;
-        private final long deadlineNanos;
 
-        private Entry(T item, int rankOrder, long number, long expectedNanos, long deadlineNanos) {
+        private Entry(T item, Demand demand, long number) {
             this.item = item;
-            this.rankOrder = rankOrder;
+            this.demand = demand;
             this.number = number;
-            this.expectedNanos = expectedNanos;
-            this.deadlineNanos = deadlineNanos;
         }
     }
 
@@ -51,56 +49,58 @@
      * What a call brings.
      *
      * @param rankOrder urgency, 0 for the most urgent
+     * @param express whether it may take the slots that are kept free for urgent calls
      * @param expectedNanos expected time in a slot
      * @param targetNanos reading of the clock up to which an answer has its full worth
      * @param deadlineNanos reading of the clock after which no answer is wanted
      */
-    record Demand(int rankOrder, long expectedNanos, long targetNanos, long deadlineNanos) {}
+    record Demand(
+            int rankOrder,
+            boolean express,
+            long expectedNanos,
+            long targetNanos,
+            long deadlineNanos) {}
 
     /**
      * Adds a call, or returns null if it would not be answered in time.
      *
-     * @param slots calls that run at once
+     * @param slots calls of its kind that run at once
      * @param runningNanos sum of the expected times of the running calls
      */
     @Nullable Entry<T> offer(T item, Demand demand, int slots, long runningNanos, long nowNanos) {
-        long waitNanos = waitNanos(demand.rankOrder(), slots, runningNanos);
+        Entry<T> entry = new Entry<>(item, demand, numbers++);
+        long waitNanos = waitNanos(entry, slots, runningNanos);
         long doneNanos = nowNanos + waitNanos + demand.expectedNanos();
         if (doneNanos > demand.deadlineNanos()) {
             return null;
         }
         long leftNanos = demand.deadlineNanos() - nowNanos;
-        if (doneNanos > demand.targetNanos() && waitNanos > leftNanos * LATE_WAIT_SHARE) {
+        boolean late = doneNanos > demand.targetNanos();
+        // The caller of an express call holds a slot elsewhere, which a refusal would waste.
+        if (late && !demand.express() && waitNanos > leftNanos * LATE_WAIT_SHARE) {
             return null;
         }
-        Entry<T> entry =
-                new Entry<>(
-                        item,
-                        demand.rankOrder(),
-                        numbers++,
-                        demand.expectedNanos(),
-                        demand.deadlineNanos());
         waiting.add(entry);
         return entry;
     }
 
-    /** Returns the expected wait of a call of the given rank that comes now. */
-    long waitNanos(int rankOrder, int slots, long runningNanos) {
+    private long waitNanos(Entry<T> entry, int slots, long runningNanos) {
         double workNanos = RESIDUAL * runningNanos;
-        for (Entry<T> entry : waiting) {
-            if (entry.rankOrder > rankOrder) {
-                break;
-            }
-            workNanos += entry.expectedNanos;
+        for (Entry<T> ahead : waiting.headSet(entry)) {
+            workNanos += ahead.demand.expectedNanos();
         }
         return (long) (workNanos / Math.max(1, slots));
     }
 
-    /** Removes the next call that can still be answered, or returns null if there is none. */
-    @Nullable T poll(long nowNanos) {
+    /**
+     * Removes the next call that can still be answered, or returns null if there is none.
+     *
+     * @param expressOnly whether only the slots for urgent calls are free
+     */
+    @Nullable T poll(boolean expressOnly, long nowNanos) {
         for (Iterator<Entry<T>> entries = waiting.iterator(); entries.hasNext(); ) {
             Entry<T> entry = entries.next();
-            if (hopeless(entry, nowNanos)) {
+            if (hopeless(entry, nowNanos) || (expressOnly && !entry.demand.express())) {
                 continue;
             }
             entries.remove();
@@ -123,7 +123,7 @@
     }
 
     private static boolean hopeless(Entry<?> entry, long nowNanos) {
-        return nowNanos + entry.expectedNanos / 2 > entry.deadlineNanos;
+        return nowNanos + entry.demand.expectedNanos() / 2 > entry.demand.deadlineNanos();
     }
 
     /** Removes a call whose caller has left. */
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Shutdown.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Shutdown.java
@@ -46,14 +46,20 @@
     /**
      * Begins the end.
      *
-     * @param refuseCalls refuses calls of other nodes, run once those know
+     * @param refusePeers refuses calls of other nodes, run once those know
+     * @param refuseClients refuses calls of clients, run once those that can go elsewhere have
      * @param then run when the process may end
      */
-    void begin(Runnable refuseCalls, Runnable then) {
+    void begin(Runnable refusePeers, Runnable refuseClients, Runnable then) {
         begun = true;
         beginNanos = clock.nanos();
-        scheduler.after(PEERS_INFORMED, refuseCalls);
-        scheduler.after(CLIENTS_INFORMED, () -> check(then));
+        scheduler.after(PEERS_INFORMED, refusePeers);
+        scheduler.after(
+                CLIENTS_INFORMED,
+                () -> {
+                    refuseClients.run();
+                    check(then);
+                });
     }
 
     private void check(Runnable then) {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -55,6 +55,7 @@
     private static final Duration NODES_PAUSE = Duration.ofMillis(250);
 
     private static final Duration SWEEP_PERIOD = Duration.ofMillis(100);
+    private static final int SWEEPS_PER_CLEANING = 100;
     private static final Duration GOSSIP_PERIOD = Duration.ofMillis(500);
 
     /** A backend server that has not announced itself by then is asked who it is. */
@@ -93,6 +94,7 @@
     private long sequence;
     private @Nullable EndpointRecord own;
     private boolean listed;
+    private long sweeps;
     private long startNanos;
 
     /** What a platform brings: where things are kept, and what the bytes and headers mean. */
@@ -226,6 +228,10 @@
     }
 
     private void sweep() {
+        sweeps++;
+        if (sweeps % SWEEPS_PER_CLEANING == 0) {
+            entry.forgetGone();
+        }
         peers.sweep();
         owner.pump();
         sender.sweep();
@@ -415,7 +421,7 @@
                     log.info("leaving node={} in_flight={}", settings.nodeId(), inFlight());
                     callListener.drain();
                     peerListener.drain();
-                    shutdown.begin(() -> owner.refuse("node-leaving"), then);
+                    shutdown.begin(() -> owner.refuse("node-leaving"), entry::leave, then);
                     publish();
                 });
     }
