Follow the store with one node a zone, and spread news among its peers

Ruled out: short questions by every node, which double the calls; pushes of whole documents by the reader, which its link may not carry (4.9 Mbit/s on the grown sites).

Change: the first node of a zone by hash follows the store; news goes to three nodes, which tell three more, and the body is pulled, compressed. A node that nobody has confirmed for 3 s follows the store itself, and a reader that the store does not answer leaves the duty to the next.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Digest.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Digest.java
@@ -12,17 +12,19 @@
  * What a node tells another to compare what both know.
  *
  * @param version number of the configuration in force, 0 if none
- * @param revision newest revision of the servers' table that it has read, -1 if none
+ * @param revision newest revision of the nodes' table that it knows, -1 if none
+ * @param ageMillis time since the store confirmed this, directly or through other nodes
  * @param own its own record, or empty
  */
-record Digest(long version, long revision, List<EndpointRecord> own) {
-    private static final int FIELDS = 3;
+record Digest(long version, long revision, long ageMillis, List<EndpointRecord> own) {
+    private static final int FIELDS = 4;
 
     byte[] encode() {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packArrayHeader(FIELDS);
             packer.packLong(version);
             packer.packLong(revision);
+            packer.packLong(ageMillis);
             RecordCodec.pack(packer, own);
             return packer.toByteArray();
         } catch (IOException e) {
@@ -36,7 +38,10 @@
                 throw new SidecarException("a digest has too few fields");
             }
             return new Digest(
-                    unpacker.unpackLong(), unpacker.unpackLong(), RecordCodec.unpack(unpacker));
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    RecordCodec.unpack(unpacker));
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw new SidecarException("the bytes hold no digest", e);
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
@@ -6,36 +6,68 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * The newest record of each node's backend server, from whichever source it came. Written by the
- * control thread; calls read snapshots.
+ * The newest record of each node's backend server, from whichever source it came. Written on the
+ * event loop; calls read snapshots.
  */
 final class ServerDirectory {
     private final Map<String, EndpointRecord> byNode = new HashMap<>();
+
+    /** Nodes whose record has been seen in the store's table. */
+    private final Set<String> stored = new HashSet<>();
+
     private final AtomicReference<ServerList> snapshot = new AtomicReference<>(ServerList.EMPTY);
+    private long revision = -1;
 
-    /** Takes records, and returns whether one of them was news. */
-    boolean merge(Collection<EndpointRecord> records) {
+    /** Takes records that nodes told of themselves. */
+    void merge(Collection<EndpointRecord> records) {
         boolean changed = false;
         for (EndpointRecord record : records) {
-            EndpointRecord known = byNode.get(record.nodeId());
-            if (known == null || record.newerThan(known)) {
-                byNode.put(record.nodeId(), record);
-                changed = true;
-            }
+            changed |= mergeOne(record);
         }
         if (changed) {
             publish();
         }
-        return changed;
+    }
+
+    /** Takes records that stand in the table as of a revision. */
+    void mergeStored(Collection<EndpointRecord> records, long tableRevision) {
+        records.forEach(record -> stored.add(record.nodeId()));
+        merge(records);
+        revision = Math.max(revision, tableRevision);
+    }
+
+    /** Takes the whole table as of a revision, and drops nodes that no longer stand there. */
+    void replaceStored(Collection<EndpointRecord> records, long tableRevision) {
+        if (tableRevision < revision) {
+            return;
+        }
+        Set<String> present = new HashSet<>();
+        records.forEach(record -> present.add(record.nodeId()));
+        Set<String> gone = new HashSet<>(stored);
+        gone.removeAll(present);
+        gone.forEach(this::remove);
+        mergeStored(records, tableRevision);
+    }
+
+    private boolean mergeOne(EndpointRecord record) {
+        EndpointRecord known = byNode.get(record.nodeId());
+        if (known != null && !record.newerThan(known)) {
+            return false;
+        }
+        byNode.put(record.nodeId(), record);
+        return true;
     }
 
     /** Removes the record of a node that has left. */
     void remove(String nodeId) {
+        stored.remove(nodeId);
         if (byNode.remove(nodeId) != null) {
             publish();
         }
@@ -58,6 +90,11 @@
         return now == null ? ServerList.EMPTY : now;
     }
 
+    /** Returns the newest revision of the table that is contained, -1 if none. */
+    long revision() {
+        return revision;
+    }
+
     /** Returns every record. */
     List<EndpointRecord> records() {
         return new ArrayList<>(byNode.values());
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -25,6 +25,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -45,15 +46,24 @@
 
     private static final Logger log = LoggerFactory.getLogger("node");
 
-    /** The store holds a question for changes for at most this long. */
-    private static final Duration FEED_WAIT = Duration.ofSeconds(20);
+    /**
+     * The store holds a question about the configuration for at most this long: a connection can go
+     * silent for good, which only the missing answer shows.
+     */
+    private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_500);
+
+    /** The same for the nodes' table, where nodes also tell each other of changes. */
+    private static final Duration NODES_WAIT = Duration.ofSeconds(5);
 
     /** Changes of the configuration that come within this time are read together. */
     private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(300);
 
-    /** The same for the list of backend servers. */
+    /** The same for the nodes' table. */
     private static final Duration NODES_PAUSE = Duration.ofMillis(250);
 
+    /** A node follows the store itself if nobody has confirmed for this long what it knows. */
+    private static final long STALE_MILLIS = 3_000;
+
     private static final Duration SWEEP_PERIOD = Duration.ofMillis(100);
     private static final int SWEEPS_PER_CLEANING = 100;
     private static final Duration GOSSIP_PERIOD = Duration.ofMillis(500);
@@ -85,6 +95,7 @@
     private final HttpListener peerListener;
     private final TableFollower configurationTable;
     private final TableFollower nodesTable;
+    private final Freshness freshness;
     private final RecordWriter writer;
     private final PeerGossip gossip;
     private final ServerProbe probe;
@@ -137,20 +148,28 @@
         this.callListener = listener(entry);
         this.peerListener = listener(this::fromPeer);
         this.configurationTable =
-                follower(tables.configurationTable(), CONFIGURATION_PAUSE, this::configurationRows);
-        this.nodesTable = follower(NODES, NODES_PAUSE, this::nodeRows);
+                follower(
+                        tables.configurationTable(),
+                        CONFIGURATION_WAIT,
+                        CONFIGURATION_PAUSE,
+                        this::configurationRows);
+        this.nodesTable = follower(NODES, NODES_WAIT, NODES_PAUSE, this::nodeRows);
+        this.freshness = new Freshness(clock);
         this.writer = new RecordWriter(store, NODES, settings.nodeId(), scheduler, random);
         this.gossip =
                 new PeerGossip(
                         sender,
                         clock,
                         random,
+                        reading,
                         versions,
                         directory,
+                        freshness,
                         this::digest,
-                        this::peerAddress,
-                        settings.zone(),
-                        this::behind);
+                        this::storeFailing,
+                        peerAddress(),
+                        settings.zone());
+        versions.onChange(() -> scheduler.execute(gossip::push));
         this.probe = new ServerProbe(sender, names, settings.server());
         this.shutdown = new Shutdown(settings, clock, scheduler, this::inFlight);
         this.incarnation = clock.now().toEpochMilli();
@@ -183,8 +202,8 @@
     }
 
     private TableFollower follower(
-            String table, Duration pause, BiConsumer<RowPage, Boolean> pages) {
-        return new TableFollower(store, table, scheduler, clock, random, FEED_WAIT, pause, pages);
+            String table, Duration wait, Duration pause, BiConsumer<RowPage, Boolean> pages) {
+        return new TableFollower(store, table, scheduler, clock, random, wait, pause, pages);
     }
 
     private ClientLimits limits() {
@@ -214,8 +233,7 @@
         owner.onMisdirected(this::serverMisdirected);
         callListener.start(settings.calls());
         peerListener.start(settings.peerCalls());
-        scheduler.execute(configurationTable::start);
-        scheduler.execute(nodesTable::start);
+        scheduler.execute(this::chooseSource);
         scheduler.every(SWEEP_PERIOD, this::sweep);
         scheduler.every(GOSSIP_PERIOD, gossip::tick);
         scheduler.after(PROBE_DELAY, this::probeServer);
@@ -227,16 +245,43 @@
                 settings.server());
     }
 
+    /** Returns where callers send calls; known after the start. */
+    public InetSocketAddress callAddress() {
+        return callListener.address();
+    }
+
+    /** Returns where other nodes send calls; known after the start. */
+    public InetSocketAddress peerCallAddress() {
+        return peerListener.address();
+    }
+
     private void sweep() {
         sweeps++;
         if (sweeps % SWEEPS_PER_CLEANING == 0) {
             entry.forgetGone();
         }
+        chooseSource();
         peers.sweep();
         owner.pump();
         sender.sweep();
     }
 
+    /** Follows the store if this node reads for its zone, or if nobody else seems to. */
+    private void chooseSource() {
+        boolean stale = freshness.ageMillis() > STALE_MILLIS;
+        if (stale || gossip.reader() || versions.inForce() == null || !listed) {
+            configurationTable.start();
+            nodesTable.start();
+        } else {
+            configurationTable.stop();
+            nodesTable.stop();
+        }
+    }
+
+    private boolean storeFailing() {
+        return configurationTable.failing();
+    }
+
     private void serverMisdirected() {
         log.warn("another backend server answers at address={}", settings.server());
         server.forget();
@@ -263,6 +308,7 @@
     }
 
     private void configurationRows(RowPage page, boolean whole) {
+        freshness.confirmed(0);
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(tables.configurationKey()) && !row.deleted()) {
                 reading.execute(() -> versions.offer(row.value(), "store"));
@@ -271,6 +317,7 @@
     }
 
     private void nodeRows(RowPage page, boolean whole) {
+        List<EndpointRecord> records = new ArrayList<>();
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(settings.nodeId())) {
                 writer.seen(row.revision());
@@ -278,19 +325,27 @@
             if (row.deleted()) {
                 directory.remove(row.key());
             } else {
-                merge(row);
+                records.addAll(decode(row));
             }
         }
+        if (whole) {
+            directory.replaceStored(records, page.revision());
+        } else {
+            directory.mergeStored(records, page.revision());
+        }
+        records.forEach(this::checkIncarnation);
         listed = true;
+        if (!page.rows().isEmpty()) {
+            gossip.push();
+        }
     }
 
-    private void merge(RowPage.TableRow row) {
+    private static List<EndpointRecord> decode(RowPage.TableRow row) {
         try {
-            List<EndpointRecord> records = RecordCodec.decode(row.value());
-            directory.merge(records);
-            records.forEach(this::checkIncarnation);
+            return RecordCodec.decode(row.value());
         } catch (SidecarException e) {
             log.warn("refused row key={} cause=\"{}\"", row.key(), e.getMessage());
+            return List.of();
         }
     }
 
@@ -306,21 +361,11 @@
         EndpointRecord record = own;
         return new Digest(
                 versions.number(),
-                nodesTable.revision(),
+                directory.revision(),
+                freshness.ageMillis(),
                 record == null ? List.of() : List.of(record));
     }
 
-    private void behind(String what) {
-        log.info("a peer has news that the store has not brought what={}", what);
-        counters.increment("behind_peers");
-        if (what.equals("version") && configurationTable.current()) {
-            configurationTable.restart();
-        }
-        if (what.equals("servers") && nodesTable.current()) {
-            nodesTable.restart();
-        }
-    }
-
     private void fromPeer(Exchange exchange) {
         if (PeerCalls.isCall(exchange)) {
             peerCalls.handle(exchange);
@@ -441,8 +486,8 @@
                 settings.nodeId(),
                 ready(),
                 versions.number(),
-                nodesTable.revision(),
-                configurationTable.current(),
+                directory.revision(),
+                freshness.ageMillis(),
                 String.valueOf(server.latest()),
                 owner.running(),
                 owner.waiting(),
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
@@ -10,7 +10,7 @@
  * @param ready whether it takes calls of clients
  * @param version configuration in force, 0 if none
  * @param nodesRevision revision of the servers' table that it has read, -1 if none
- * @param storeCurrent whether the last question to the store was answered
+ * @param ageMillis time since the store confirmed what the node knows
  * @param server the last announcement of its backend server
  * @param running calls that run at its backend server
  * @param waiting calls that wait for its backend server
@@ -22,7 +22,7 @@
         boolean ready,
         long version,
         long nodesRevision,
-        boolean storeCurrent,
+        long ageMillis,
         String server,
         int running,
         int waiting,
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/TableFollower.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/TableFollower.java
@@ -23,6 +23,9 @@
     private static final Duration FIRST_RETRY = Duration.ofMillis(100);
     private static final Duration LONGEST_RETRY = Duration.ofMillis(1_000);
 
+    /** After a failure other nodes are left to read for the zone for this long. */
+    private static final long FAILING_NANOS = 4_000_000_000L;
+
     private final RowStore store;
     private final String table;
     private final Scheduler scheduler;
@@ -33,8 +36,9 @@
     private final BackOff backOff;
     private long revision = -1;
     private boolean lost = true;
-    private boolean stopped;
-    private long answeredNanos;
+    private boolean following;
+    private boolean failed;
+    private long failedNanos;
     private int round;
 
     /**
@@ -61,38 +65,43 @@
         this.pause = pause;
         this.pages = pages;
         this.backOff = new BackOff(FIRST_RETRY, LONGEST_RETRY, random);
-        this.answeredNanos = clock.nanos();
     }
 
+    /** Follows the table from now on; does nothing if it does so already. */
     void start() {
-        ask(round);
+        if (!following) {
+            following = true;
+            revision = -1;
+            round++;
+            ask(round);
+        }
     }
 
+    /** Follows the table no more; the answer to a question on its way is not used. */
     void stop() {
-        stopped = true;
+        following = false;
+        round++;
     }
 
     /** Asks anew, since the connection of the running question may have gone silent. */
     void restart() {
-        round++;
-        ask(round);
-    }
-
-    /** Returns whether the store has answered, and the last question did not fail. */
-    boolean current() {
-        return !lost;
+        if (following) {
+            round++;
+            ask(round);
+        }
     }
 
-    long revision() {
-        return revision;
+    /** Returns whether the store did not answer lately. */
+    boolean failing() {
+        return failed && clock.nanos() - failedNanos < FAILING_NANOS;
     }
 
-    long answeredNanos() {
-        return answeredNanos;
+    boolean following() {
+        return following;
     }
 
     private void ask(int asked) {
-        if (stopped || asked != round) {
+        if (!following || asked != round) {
             return;
         }
         boolean whole = revision < 0;
@@ -104,7 +113,7 @@
 
     private void answered(
             int asked, @Nullable RowPage page, @Nullable Throwable failure, boolean whole) {
-        if (stopped || asked != round) {
+        if (!following || asked != round) {
             return;
         }
         if (page == null) {
@@ -115,8 +124,8 @@
             lost = false;
             log.info("store regained table={} revision={}", table, page.revision());
         }
+        failed = false;
         backOff.reset();
-        answeredNanos = clock.nanos();
         revision = Math.max(revision, page.revision());
         pages.accept(page, whole);
         scheduler.after(pause, () -> ask(asked));
@@ -133,6 +142,8 @@
             ask(asked);
             return;
         }
+        failed = true;
+        failedNanos = clock.nanos();
         if (!lost) {
             lost = true;
             log.warn("store lost table={} cause=\"{}\"", table, String.valueOf(cause));
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Versions.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Versions.java
@@ -16,17 +16,23 @@
 
     private final ConfigurationReader reader;
     private final AtomicReference<@Nullable Held> held = new AtomicReference<>();
+    private volatile Runnable changed = () -> {};
 
-    /** A configuration and the bytes that it was read from. */
+    /** A configuration and the compressed bytes that it was read from. */
     @SuppressWarnings("ArrayRecordComponent") // never compared
-    record Held(Configuration configuration, byte[] bytes) {}
+    record Held(Configuration configuration, byte[] packed) {}
 
     Versions(ConfigurationReader reader) {
         this.reader = reader;
     }
 
+    /** Runs an action, on the offering thread, after each change of the version in force. */
+    void onChange(Runnable action) {
+        changed = action;
+    }
+
     /** Puts a version in force if it is newer; returns whether the bytes hold a valid version. */
-    boolean offer(byte[] bytes, String source) {
+    synchronized boolean offer(byte[] bytes, String source) {
         Configuration offered;
         try {
             offered = reader.read(bytes);
@@ -38,7 +44,8 @@
         if (now != null && offered.number() <= now.configuration().number()) {
             return true;
         }
-        held.set(new Held(offered, bytes));
+        held.set(new Held(offered, Packing.pack(bytes)));
+        changed.run();
         log.info(
                 "configuration in force version={} routes={} from={}",
                 offered.number(),
