--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -6,8 +6,6 @@
 
 /** Headers between nodes, and which headers are passed on. */
 final class HopHeaders {
-    static final String PREFIX = "zinniaring-";
-
     /** Id of the backend server that the entry node chose. */
     static final String OWNER_HOP = "Zinniaring-Owner-Hop";
 
@@ -46,16 +44,41 @@
                     "content-length",
                     "expect");
 
+    /** Headers that only nodes may set. */
+    private static final Set<String> HOP_HEADERS =
+            Set.of(
+                    lowerCase(OWNER_HOP),
+                    lowerCase(RANK),
+                    lowerCase(ROUTE),
+                    lowerCase(ROUTE_TARGET),
+                    lowerCase(TARGET),
+                    lowerCase(OUTCOME),
+                    lowerCase(REASON),
+                    lowerCase(LOAD));
+
     private HopHeaders() {}
 
-    /** Copies the headers that do not concern one connection and are not of this system. */
+    private static String lowerCase(String name) {
+        return name.toLowerCase(Locale.ROOT);
+    }
+
+    /** Copies the headers that do not concern one connection and are not for nodes only. */
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+        copy(from, to, false);
+    }
+
+    /** Copies the headers that do not concern one connection. */
+    static void copyAll(HttpHeaders from, HttpHeaders to) {
+        copy(from, to, true);
+    }
+
+    private static void copy(HttpHeaders from, HttpHeaders to, boolean hopHeaders) {
         String named = String.join(",", from.getAll("Connection")).toLowerCase(Locale.ROOT);
         from.forEach(
                 header -> {
-                    String name = header.getKey().toLowerCase(Locale.ROOT);
+                    String name = lowerCase(header.getKey());
                     if (!CONNECTION_HEADERS.contains(name)
-                            && !name.startsWith(PREFIX)
+                            && (hopHeaders || !HOP_HEADERS.contains(name))
                             && !names(named, name)) {
                         to.add(header.getKey(), header.getValue());
                     }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerConnection.java
@@ -228,14 +228,7 @@
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(answer.status()),
                         headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body()));
-        HopHeaders.copyEndToEnd(answer.headers(), response.headers());
-        answer.headers()
-                .forEach(
-                        header -> {
-                            if (header.getKey().startsWith("Zinniaring-")) {
-                                response.headers().set(header.getKey(), header.getValue());
-                            }
-                        });
+        HopHeaders.copyAll(answer.headers(), response.headers());
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
         if (close) {
             lastAnswer = true;
--- /dev/null
+++ b/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
@@ -0,0 +1,375 @@
+package dev.zinniaring.calls;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.model.BalancePolicy;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.EndpointState;
+import dev.zinniaring.model.Pool;
+import dev.zinniaring.model.Rank;
+import dev.zinniaring.model.Route;
+import dev.zinniaring.model.Tables;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Two nodes and a scripted backend server over loopback. */
+class MeshTest {
+    private static final int WAIT_SECONDS = 10;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final HeaderNames names = HeaderNames.builder().build();
+    private final HttpSender sender = new HttpSender(group, Clock.system());
+    private final AtomicReference<ServerList> servers = new AtomicReference<>(ServerList.EMPTY);
+    private final AtomicReference<Configuration> configuration = new AtomicReference<>();
+    private final AtomicBoolean leaving = new AtomicBoolean();
+    private ScriptedServer server;
+    private OwnerCalls owner;
+    private HttpListener entryPort;
+
+    /** A server that reads requests and answers with the bytes that a test gives it. */
+    private static final class ScriptedServer implements AutoCloseable {
+        private final ServerSocket port;
+        private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> closes = new LinkedBlockingQueue<>();
+
+        ScriptedServer() throws IOException {
+            port = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            start(this::accept);
+        }
+
+        private static void start(Runnable task) {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void accept() {
+            while (true) {
+                try {
+                    Socket socket = port.accept();
+                    start(() -> serve(socket));
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        }
+
+        private void serve(Socket socket) {
+            try (socket) {
+                InputStream in = socket.getInputStream();
+                OutputStream out = socket.getOutputStream();
+                while (true) {
+                    String head = head(in);
+                    if (head == null) {
+                        closes.add("closed");
+                        return;
+                    }
+                    requests.add(head);
+                    if (head.contains("/hang")) {
+                        closes.add(in.read() < 0 ? "closed" : "bytes");
+                        return;
+                    }
+                    String answer = answers.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+                    if (answer == null || answer.equals("RESET")) {
+                        socket.setSoLinger(true, 0);
+                        return;
+                    }
+                    String id = header(head, "Zinniaring-Call-Id");
+                    out.write(answer.replace("ID", id).getBytes(StandardCharsets.ISO_8859_1));
+                    out.flush();
+                    if (answer.endsWith("CUT")) {
+                        return;
+                    }
+                }
+            } catch (IOException | InterruptedException e) {
+                closes.add("broken");
+            }
+        }
+
+        private static String head(InputStream in) throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return null;
+                }
+                head.append((char) next);
+            }
+            return head.toString();
+        }
+
+        static String header(String head, String name) {
+            for (String line : head.split("\r\n")) {
+                if (line.toLowerCase().startsWith(name.toLowerCase() + ":")) {
+                    return line.substring(name.length() + 1).trim();
+                }
+            }
+            return "";
+        }
+
+        String request() throws InterruptedException {
+            return requests.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        @Override
+        public void close() throws IOException {
+            port.close();
+        }
+    }
+
+    private static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nZinniaring-Call-Id: ID\r\nX-Seal: s1\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    @BeforeEach
+    void startNodes() throws IOException, KernelException {
+        server = new ScriptedServer();
+        LocalServer local =
+                new LocalServer(
+                        "i1",
+                        new InetSocketAddress(
+                                InetAddress.getLoopbackAddress(), server.port.getLocalPort()),
+                        2,
+                        new ServerSettings("/health", 10),
+                        false);
+        CallCounters counters = new CallCounters();
+        owner =
+                new OwnerCalls(
+                        sender,
+                        names,
+                        Clock.system(),
+                        counters,
+                        () ->
+                                new LocalServer(
+                                        local.serverId(),
+                                        local.address(),
+                                        local.slots(),
+                                        local.settings(),
+                                        leaving.get()));
+        HttpListener ownerPort = listen(new PeerCalls(owner, names));
+        PeerSender peers = new PeerSender(sender, names, Clock.system(), counters);
+        OwnerCalls none = new OwnerCalls(sender, names, Clock.system(), counters, () -> null);
+        EntryCalls entry =
+                EntryCalls.builder(
+                                new EntrySettings(
+                                        "a", "caller", "none", 1, 10, Duration.ofSeconds(10)))
+                        .names(names)
+                        .loop(group.next())
+                        .owner(none)
+                        .peers(peers)
+                        .counters(counters)
+                        .random(new SplittableRandom(1))
+                        .configurations(configuration::get)
+                        .servers(servers::get)
+                        .build();
+        entryPort = listen(entry);
+        servers.set(
+                new ServerList(
+                        List.of(
+                                new EndpointRecord(
+                                        "i1",
+                                        "s",
+                                        "n1",
+                                        "a",
+                                        "127.0.0.1:" + ownerPort.address().getPort(),
+                                        1,
+                                        1,
+                                        2,
+                                        10,
+                                        EndpointState.READY,
+                                        0))));
+        configuration.set(configured());
+    }
+
+    private static Configuration configured() {
+        List<Route> routes = new ArrayList<>();
+        for (String name : List.of("safe", "once")) {
+            routes.add(
+                    new Route(
+                            name,
+                            "h",
+                            "/" + name + "/",
+                            new TreeSet<>(),
+                            "k",
+                            name.equals("safe"),
+                            2_000,
+                            1,
+                            "p"));
+        }
+        Pool pool = new Pool("p", "s", BalancePolicy.LEAST_LOADED, 9, 9, 0);
+        Tables tables = Tables.of(List.of(new Rank("k", 0, 1, 0)), routes, List.of(pool));
+        return new Configuration(1, tables, Map.of(), ClientLimits.DEFAULT);
+    }
+
+    private HttpListener listen(ExchangeHandler handler) throws KernelException {
+        HttpListener listener =
+                new HttpListener(group, Clock.system(), () -> ClientLimits.DEFAULT, handler);
+        listener.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return listener;
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private Socket open() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), entryPort.address().getPort());
+        socket.setSoTimeout(WAIT_SECONDS * 1_000);
+        return socket;
+    }
+
+    private static void send(Socket socket, String method, String path) throws IOException {
+        String request =
+                "%s %s HTTP/1.1\r\nHost: h\r\nZinniaring-Call-Id: c1\r\nContent-Length: 0\r\n\r\n"
+                        .formatted(method, path);
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Returns the status and the body of an answer. */
+    private static String answer(Socket socket) throws IOException {
+        String head = ScriptedServer.head(socket.getInputStream());
+        if (head == null) {
+            return "closed";
+        }
+        int length = Integer.parseInt(ScriptedServer.header(head, "Content-Length"));
+        byte[] body = socket.getInputStream().readNBytes(length);
+        return head.split(" ")[1] + " " + new String(body, StandardCharsets.ISO_8859_1);
+    }
+
+    private String call(String method, String path) throws IOException {
+        try (Socket socket = open()) {
+            send(socket, method, path);
+            return answer(socket);
+        }
+    }
+
+    @Test
+    void aCallThroughTwoNodesIsAnsweredWithTheServersWholeAnswer() throws Exception {
+        server.answers.add(ok("hello"));
+        assertThat(call("GET", "/safe/x?q=1")).isEqualTo("200 hello");
+        String request = server.request();
+        assertThat(request).startsWith("GET /safe/x?q=1 HTTP/1.1");
+        assertThat(ScriptedServer.header(request, "Zinniaring-Expect-Server")).isEqualTo("i1");
+        assertThat(ScriptedServer.header(request, "Zinniaring-Caller")).isEqualTo("caller");
+        assertThat(Long.parseLong(ScriptedServer.header(request, "Zinniaring-Deadline-Ms")))
+                .isBetween(1L, 2_000L);
+    }
+
+    /** A second answer on a kept connection was taken for that to the next request. */
+    @Test
+    void bytesAfterAWholeAnswerAreNotTakenForTheNextOne() throws Exception {
+        server.answers.add(ok("first") + ok("stray").replace("ID", "c0"));
+        assertThat(call("GET", "/safe/x")).isEqualTo("200 first");
+        server.answers.add(ok("second"));
+        assertThat(call("GET", "/safe/x")).isEqualTo("200 second");
+    }
+
+    /** An answer to an earlier request can come late, where that to the next is expected. */
+    @Test
+    void anAnswerWithAnotherIdIsSkipped() throws Exception {
+        server.answers.add(ok("stray").replace("ID", "c0") + ok("own"));
+        assertThat(call("POST", "/once/x")).isEqualTo("200 own");
+    }
+
+    /** An answer that breaks off must not look complete. */
+    @Test
+    void aCutAnswerIsRepeatedIfItMayBeAndElseFails() throws Exception {
+        String cut = "HTTP/1.1 200 OK\r\nZinniaring-Call-Id: ID\r\nContent-Length: 9\r\n\r\nCUT";
+        server.answers.add(cut);
+        assertThat(call("POST", "/once/x")).startsWith("502");
+        assertThat(server.requests).hasSize(1);
+    }
+
+    /** A call that may have run must not be run again, nor be called "not run". */
+    @Test
+    void aCallThatCannotBeRepeatedIsSentOnce() throws Exception {
+        server.answers.add("RESET");
+        assertThat(call("POST", "/once/x")).startsWith("502");
+        assertThat(server.requests).hasSize(1);
+    }
+
+    @Test
+    void aServerThatDeclinesIsNotSaidToHaveRunTheCall() throws Exception {
+        server.answers.add(
+                "HTTP/1.1 503 Full\r\nZinniaring-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(call("POST", "/once/x")).startsWith("503");
+    }
+
+    @Test
+    void aLeavingServerGetsNoCall() throws Exception {
+        leaving.set(true);
+        assertThat(call("POST", "/once/x")).startsWith("503");
+        assertThat(server.requests).isEmpty();
+    }
+
+    /** A client that leaves must free the slot that its call holds. */
+    @Test
+    void theWorkOfAClientThatLeavesIsEnded() throws Exception {
+        Socket socket = open();
+        send(socket, "GET", "/safe/hang");
+        assertThat(server.request()).contains("/safe/hang");
+        socket.close();
+        assertThat(server.closes.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+    }
+
+    /** Of several requests on one connection each must get its own answer, in order. */
+    @Test
+    void requestsThatAreSentAheadAreAnsweredInOrder() throws Exception {
+        server.answers.add(ok("one"));
+        server.answers.add(ok("two"));
+        try (Socket socket = open()) {
+            send(socket, "GET", "/safe/1");
+            send(socket, "GET", "/safe/2");
+            assertThat(answer(socket)).isEqualTo("200 one");
+            assertThat(answer(socket)).isEqualTo("200 two");
+        }
+    }
+
+    @Test
+    void aCallWithoutARouteOrConfigurationIsRefusedAsWhatItIs() throws Exception {
+        assertThat(call("GET", "/other/x")).startsWith("404");
+        configuration.set(null);
+        assertThat(call("GET", "/safe/x")).startsWith("503");
+    }
+
+    /** What cannot be read as a request could hide another one. */
+    @Test
+    void aRequestThatIsMalformedIsRefused() throws Exception {
+        try (Socket socket = open()) {
+            socket.getOutputStream()
+                    .write(
+                            "GET /safe/x HTTP/1.1\r\nbad header\r\n\r\n"
+                                    .getBytes(StandardCharsets.UTF_8));
+            assertThat(answer(socket)).startsWith("400");
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/FakeRowStore.java
@@ -0,0 +1,80 @@
+package dev.zinniaring.sidecar;
+
+import dev.zinniaring.store.HistoryLostException;
+import dev.zinniaring.store.PlatformOutcomeUnknownException;
+import dev.zinniaring.store.PlatformUnavailableException;
+import dev.zinniaring.store.RowConflictException;
+import dev.zinniaring.store.RowPage;
+import dev.zinniaring.store.RowStore;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/** A store of one table in memory; questions for changes wait until a test answers them. */
+final class FakeRowStore implements RowStore {
+    private final Map<String, RowPage.TableRow> rows = new TreeMap<>();
+    final List<CompletableFuture<RowPage>> feeds = new ArrayList<>();
+    final List<String> calls = new ArrayList<>();
+    long revision = 1;
+    boolean down;
+    boolean loseAnswers;
+    boolean loseHistory;
+
+    @Override
+    public CompletableFuture<RowPage> list(String table) {
+        calls.add("list");
+        if (down) {
+            return CompletableFuture.failedFuture(new PlatformUnavailableException("down"));
+        }
+        return CompletableFuture.completedFuture(new RowPage(List.copyOf(rows.values()), revision));
+    }
+
+    @Override
+    public CompletableFuture<RowPage> feed(String table, long afterRevision, Duration wait) {
+        calls.add("feed " + afterRevision);
+        if (down) {
+            return CompletableFuture.failedFuture(new PlatformUnavailableException("down"));
+        }
+        if (loseHistory) {
+            loseHistory = false;
+            return CompletableFuture.failedFuture(new HistoryLostException("410"));
+        }
+        CompletableFuture<RowPage> answer = new CompletableFuture<>();
+        feeds.add(answer);
+        return answer;
+    }
+
+    @Override
+    public CompletableFuture<Long> put(
+            String table, String key, byte[] value, long expectedRevision) {
+        calls.add("put " + expectedRevision);
+        if (down) {
+            return CompletableFuture.failedFuture(new PlatformUnavailableException("down"));
+        }
+        long has = rows.containsKey(key) ? rows.get(key).revision() : ABSENT;
+        if (has != expectedRevision) {
+            return CompletableFuture.failedFuture(new RowConflictException("412", has));
+        }
+        revision++;
+        rows.put(key, new RowPage.TableRow(key, revision, value, false));
+        if (loseAnswers) {
+            loseAnswers = false;
+            return CompletableFuture.failedFuture(new PlatformOutcomeUnknownException("lost"));
+        }
+        return CompletableFuture.completedFuture(revision);
+    }
+
+    @Override
+    public CompletableFuture<Void> delete(String table, String key, long expectedRevision) {
+        calls.add("delete " + expectedRevision);
+        rows.remove(key);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    byte[] value(String key) {
+        return rows.get(key).value();
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/MessagesTest.java
@@ -0,0 +1,58 @@
+package dev.zinniaring.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dev.zinniaring.model.EndpointRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class MessagesTest {
+    private static final List<EndpointRecord> RECORDS =
+            List.of(ServerDirectoryTest.record("n1", "i1", "10.0.0.1:1", 3, 4));
+
+    @Test
+    void digestsSnapshotsAndRecordsAreReadAsTheyWereWritten() throws SidecarException {
+        Digest digest = new Digest(7, 9, 120, RECORDS);
+        assertThat(Digest.decode(digest.encode())).isEqualTo(digest);
+        Snapshot snapshot = new Snapshot(9, RECORDS);
+        assertThat(Snapshot.decode(snapshot.encode())).isEqualTo(snapshot);
+        assertThat(RecordCodec.decode(RecordCodec.encode(RECORDS))).isEqualTo(RECORDS);
+    }
+
+    /** A row or body of another writer must be refused, not end the node. */
+    @Test
+    void bytesOfAnotherWriterAreRefused() {
+        byte[] text = "not a record".getBytes(StandardCharsets.UTF_8);
+        assertThatThrownBy(() -> RecordCodec.decode(text)).isInstanceOf(SidecarException.class);
+        assertThatThrownBy(() -> Digest.decode(text)).isInstanceOf(SidecarException.class);
+        assertThatThrownBy(() -> Snapshot.decode(text)).isInstanceOf(SidecarException.class);
+        assertThatThrownBy(() -> Packing.unpack(text)).isInstanceOf(SidecarException.class);
+    }
+
+    /** Damage anywhere in a message must not raise anything but a refusal. */
+    @Test
+    void damagedMessagesAreReadOrRefused() {
+        SplittableRandom random = new SplittableRandom(7);
+        byte[] whole = new Snapshot(9, RECORDS).encode();
+        for (int i = 0; i < 2_000; i++) {
+            byte[] damaged = whole.clone();
+            damaged[random.nextInt(damaged.length)] = (byte) random.nextInt(256);
+            try {
+                Snapshot.decode(damaged);
+            } catch (SidecarException e) {
+                assertThat(e).hasMessageContaining("snapshot");
+            }
+        }
+    }
+
+    @Test
+    void aDocumentIsUnpackedAsItWasPacked() throws SidecarException {
+        byte[] document = "{\"version\":1}".repeat(1_000).getBytes(StandardCharsets.UTF_8);
+        byte[] packed = Packing.pack(document);
+        assertThat(packed.length).isLessThan(document.length / 8);
+        assertThat(Packing.unpack(packed)).isEqualTo(document);
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/RecordWriterTest.java
@@ -0,0 +1,71 @@
+package dev.zinniaring.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.kernel.ManualClock;
+import dev.zinniaring.kernel.ManualScheduler;
+import dev.zinniaring.model.EndpointRecord;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class RecordWriterTest {
+    private static final EndpointRecord FIRST =
+            ServerDirectoryTest.record("n1", "i1", "10.0.0.1:1", 3, 1);
+    private static final EndpointRecord SECOND =
+            ServerDirectoryTest.record("n1", "i1", "10.0.0.1:1", 3, 2);
+
+    private final ManualScheduler scheduler =
+            new ManualScheduler(ManualClock.startingAt(Instant.EPOCH));
+    private final FakeRowStore store = new FakeRowStore();
+    private final RecordWriter writer =
+            new RecordWriter(store, "t", "n1", scheduler, new SplittableRandom(1));
+
+    private EndpointRecord stored() throws SidecarException {
+        return RecordCodec.decode(store.value("n1")).get(0);
+    }
+
+    @Test
+    void aRecordIsWrittenOnce() throws SidecarException {
+        writer.write(FIRST);
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(store.calls).containsExactly("put 0");
+        assertThat(stored()).isEqualTo(FIRST);
+        assertThat(writer.done()).isTrue();
+    }
+
+    /** A write may have taken effect although its answer was lost. */
+    @Test
+    void aLostAnswerIsResolvedByTheRevisionOfTheRow() throws SidecarException {
+        store.loseAnswers = true;
+        writer.write(FIRST);
+        writer.write(SECOND);
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(stored()).isEqualTo(SECOND);
+        assertThat(writer.done()).isTrue();
+    }
+
+    /** A row of an earlier life of the node must not keep the new one from writing. */
+    @Test
+    void aRowOfAnEarlierLifeIsReplaced() throws SidecarException {
+        writer.write(FIRST);
+        scheduler.advance(Duration.ofSeconds(1));
+        RecordWriter next = new RecordWriter(store, "t", "n1", scheduler, new SplittableRandom(1));
+        next.write(SECOND);
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(stored()).isEqualTo(SECOND);
+    }
+
+    @Test
+    void onlyTheNewestRecordIsWrittenAfterAnOutage() throws SidecarException {
+        store.down = true;
+        writer.write(FIRST);
+        scheduler.advance(Duration.ofSeconds(3));
+        writer.write(SECOND);
+        store.down = false;
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(stored()).isEqualTo(SECOND);
+        assertThat(store.calls.stream().filter("put 0"::equals).count()).isLessThan(8);
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/ServerDirectoryTest.java
@@ -0,0 +1,55 @@
+package dev.zinniaring.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.EndpointState;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ServerDirectoryTest {
+    private final ServerDirectory directory = new ServerDirectory();
+
+    static EndpointRecord record(String node, String server, String address, long life, long seq) {
+        return new EndpointRecord(
+                server, "s", node, "a", address, life, seq, 6, 100, EndpointState.READY, 0);
+    }
+
+    private List<String> servers() {
+        return directory.servers().of("s").stream().map(EndpointRecord::serverId).sorted().toList();
+    }
+
+    /** Records come from the store and from peers, in any order. */
+    @Test
+    void anOlderRecordDoesNotReplaceANewerOne() {
+        directory.merge(List.of(record("n1", "new", "10.0.0.1:1", 2, 1)));
+        directory.merge(List.of(record("n1", "old", "10.0.0.1:1", 1, 9)));
+        assertThat(servers()).containsExactly("new");
+    }
+
+    /** Addresses of VMs that are gone are used again, by a server of another service. */
+    @Test
+    void ofTwoNodesAtOneAddressTheLaterOneCounts() {
+        directory.merge(List.of(record("n1", "old", "10.0.0.1:1", 1, 9)));
+        directory.merge(List.of(record("n2", "new", "10.0.0.1:1", 2, 1)));
+        assertThat(servers()).containsExactly("new");
+    }
+
+    /** A node that left while nobody read the feed must not stay in the list. */
+    @Test
+    void aWholeTableDropsNodesThatNoLongerStandThere() {
+        directory.mergeStored(List.of(record("n1", "i1", "10.0.0.1:1", 1, 1)), 5);
+        directory.merge(List.of(record("n2", "i2", "10.0.0.2:1", 1, 1)));
+        directory.replaceStored(List.of(record("n3", "i3", "10.0.0.3:1", 1, 1)), 7);
+        assertThat(servers()).containsExactly("i2", "i3");
+        assertThat(directory.revision()).isEqualTo(7);
+    }
+
+    /** A peer that lags must not bring back what was dropped. */
+    @Test
+    void anOlderTableIsIgnored() {
+        directory.replaceStored(List.of(), 7);
+        directory.replaceStored(List.of(record("n1", "i1", "10.0.0.1:1", 1, 1)), 6);
+        assertThat(servers()).isEmpty();
+    }
+}
