Hand over the reading as soon as the store fails a reader

Ruled out: two readers a zone, which doubles the calls.

Change: a reader that the store fails tells its peers at once that what it knows is not confirmed, and leaves the duty alone for 10 s.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Freshness.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Freshness.java
@@ -8,7 +8,7 @@
  */
 final class Freshness {
     /** Age before anything has been confirmed. */
-    private static final long NEVER_MILLIS = 3_600_000;
+    static final long NEVER_MILLIS = 3_600_000;
 
     private final Clock clock;
     private long confirmedNanos;
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -169,6 +169,7 @@
                         this::storeFailing,
                         peerAddress(),
                         settings.zone());
+        configurationTable.onFailure(gossip::push);
         versions.onChange(() -> scheduler.execute(gossip::push));
         this.probe = new ServerProbe(sender, names, settings.server());
         this.shutdown = new Shutdown(settings, clock, scheduler, this::inFlight);
@@ -362,7 +363,7 @@
         return new Digest(
                 versions.number(),
                 directory.revision(),
-                freshness.ageMillis(),
+                storeFailing() ? Freshness.NEVER_MILLIS : freshness.ageMillis(),
                 record == null ? List.of() : List.of(record));
     }
 
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/TableFollower.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/TableFollower.java
@@ -24,7 +24,7 @@
     private static final Duration LONGEST_RETRY = Duration.ofMillis(1_000);
 
     /** After a failure other nodes are left to read for the zone for this long. */
-    private static final long FAILING_NANOS = 4_000_000_000L;
+    private static final long FAILING_NANOS = 10_000_000_000L;
 
     private final RowStore store;
     private final String table;
@@ -37,6 +37,7 @@
     private long revision = -1;
     private boolean lost = true;
     private boolean following;
+    private Runnable failure = () -> {};
     private boolean failed;
     private long failedNanos;
     private int round;
@@ -91,6 +92,11 @@
         }
     }
 
+    /** Runs an action when the store begins to fail. */
+    void onFailure(Runnable action) {
+        failure = action;
+    }
+
     /** Returns whether the store did not answer lately. */
     boolean failing() {
         return failed && clock.nanos() - failedNanos < FAILING_NANOS;
@@ -107,17 +113,17 @@
         boolean whole = revision < 0;
         (whole ? store.list(table) : store.feed(table, revision, wait))
                 .whenComplete(
-                        (page, failure) ->
-                                scheduler.execute(() -> answered(asked, page, failure, whole)));
+                        (page, thrown) ->
+                                scheduler.execute(() -> answered(asked, page, thrown, whole)));
     }
 
     private void answered(
-            int asked, @Nullable RowPage page, @Nullable Throwable failure, boolean whole) {
+            int asked, @Nullable RowPage page, @Nullable Throwable thrown, boolean whole) {
         if (!following || asked != round) {
             return;
         }
         if (page == null) {
-            failed(asked, failure);
+            failed(asked, thrown);
             return;
         }
         if (lost) {
@@ -131,11 +137,11 @@
         scheduler.after(pause, () -> ask(asked));
     }
 
-    private void failed(int asked, @Nullable Throwable failure) {
+    private void failed(int asked, @Nullable Throwable thrown) {
         Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null
-                        ? failure.getCause()
-                        : failure;
+                thrown instanceof CompletionException && thrown.getCause() != null
+                        ? thrown.getCause()
+                        : thrown;
         if (cause instanceof HistoryLostException) {
             log.info("store dropped its history table={} revision={}", table, revision);
             revision = -1;
@@ -146,6 +152,7 @@
         failedNanos = clock.nanos();
         if (!lost) {
             lost = true;
+            failure.run();
             log.warn("store lost table={} cause=\"{}\"", table, String.valueOf(cause));
         }
         scheduler.after(backOff.next(), () -> ask(asked));
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/TableFollowerTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/TableFollowerTest.java
@@ -77,4 +77,19 @@
         assertThat(pages).hasSize(1);
         assertThat(store.calls).hasSize(2);
     }
+
+    /** A reader that the store refused left its zone without news for 3 s. */
+    @Test
+    void theFirstFailureIsToldAtOnce() {
+        List<String> told = new ArrayList<>();
+        follower.onFailure(() -> told.add("failed"));
+        follower.start();
+        pass(200);
+        store.down = true;
+        store.feeds.get(0).complete(new RowPage(List.of(), 4));
+        pass(150);
+        assertThat(told).containsExactly("failed");
+        pass(3_000);
+        assertThat(told).containsExactly("failed");
+    }
 }
