Suspect unreachable nodes, ask the server who it is at once, and outlast clock steps

Cause: calls to the node of a machine that is gone waited 150 ms for a connection each time its turn came. After a restart a node waited 0.4 s before it asked its backend server who it is. A life of a backend server that began after its clock was set back would have been refused for good (read, not seen).

Ruled out: deleting rows of nodes that do not answer; a cut looks the same.

Change: a node that cannot be connected to is suspected until it gives a sign of life. The health check goes out with the first configuration. A life that seems older is taken once the known one has been silent for 4.5 s.

--- a/calls/src/main/java/dev/zinniaring/calls/HttpSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpSender.java
@@ -32,6 +32,9 @@
  * }</pre>
  */
 public final class HttpSender {
+    /** Reason of a failure to open a connection. */
+    static final String CONNECT_FAILED = "connect-failed";
+
     private final EventLoop loop;
     private final Clock clock;
     private final Map<InetSocketAddress, Deque<ClientConnection>> idle = new HashMap<>();
@@ -163,7 +166,7 @@
         private void connected(ClientConnection made, ChannelFuture opening) {
             connecting = null;
             if (!opening.isSuccess()) {
-                failed(SendFailure.NOT_SENT, "connect-failed");
+                failed(SendFailure.NOT_SENT, CONNECT_FAILED);
             } else if (ended) {
                 made.close();
             } else {
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -211,6 +211,9 @@
         public void failed(SendFailure failure, String reason) {
             peer.flights.remove(this);
             if (failure == SendFailure.NOT_SENT) {
+                if (reason.equals(HttpSender.CONNECT_FAILED)) {
+                    peer.suspect();
+                }
                 job.end(OwnerResult.notRun("peer-unreachable", null));
             } else {
                 job.end(OwnerResult.unknown("peer-" + reason, null));
--- /dev/null
+++ b/calls/src/test/java/dev/zinniaring/calls/PeerSenderTest.java
@@ -0,0 +1,81 @@
+package dev.zinniaring.calls;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.EndpointState;
+import dev.zinniaring.model.Route;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerSenderTest {
+    private static final CallRoute ROUTE =
+            new CallRoute(
+                    new Route("r", "h", "/", new TreeSet<>(), "k", true, 800, 1, "p"),
+                    0,
+                    WeightedTurns.of(Map.of("s", 1)));
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final Clock clock = Clock.system();
+    private final PeerSender peers =
+            new PeerSender(
+                    new HttpSender(group, clock),
+                    HeaderNames.builder().build(),
+                    clock,
+                    new CallCounters());
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private OwnerResult send(String address) throws Exception {
+        EndpointRecord server =
+                new EndpointRecord("i", "s", "n", "a", address, 1, 1, 6, 9, EndpointState.READY, 0);
+        Exchange exchange =
+                new Exchange(
+                        "GET",
+                        "/x",
+                        new DefaultHttpHeaders(),
+                        new byte[0],
+                        clock.nanos(),
+                        false,
+                        answer -> {});
+        CompletableFuture<OwnerResult> result = new CompletableFuture<>();
+        long deadlineNanos = clock.nanos() + TimeUnit.SECONDS.toNanos(1);
+        OwnerJob job =
+                new OwnerJob(
+                        "i",
+                        exchange,
+                        "c",
+                        "r",
+                        300,
+                        0,
+                        deadlineNanos,
+                        deadlineNanos,
+                        result::complete);
+        group.execute(() -> peers.send(job, server, ROUTE));
+        return result.get(10, TimeUnit.SECONDS);
+    }
+
+    /** Each call to a node that is gone would otherwise wait for a connection in vain. */
+    @Test
+    void aNodeThatCannotBeConnectedToIsSuspectedAndTheCallNotRun() throws Exception {
+        String gone;
+        try (ServerSocket port = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            gone = "127.0.0.1:" + port.getLocalPort();
+        }
+        OwnerResult result = send(gone);
+        assertThat(result.outcome()).isEqualTo(OwnerResult.Outcome.NOT_RUN);
+        assertThat(peers.suspected(gone)).isTrue();
+    }
+}
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/OwnServer.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/OwnServer.java
@@ -2,7 +2,9 @@
 
 import dev.zinniaring.calls.LocalServer;
 import dev.zinniaring.calls.ServerSettings;
+import dev.zinniaring.kernel.Clock;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -12,13 +14,26 @@
  * earlier life, or from a writer that is no backend server of this VM.
  */
 final class OwnServer {
+    /**
+     * A life that has not been heard for this long has ended: three announcements are missing. A
+     * clock that was set back can make the next life look older.
+     */
+    private static final Duration SILENCE = Duration.ofMillis(4_500);
+
+    private final Clock clock;
     private final String service;
     private final InetSocketAddress address;
     private final Supplier<ServerSettings> settings;
     private @Nullable Announcement latest;
     private boolean probed;
+    private long heardNanos;
 
-    OwnServer(String service, InetSocketAddress address, Supplier<ServerSettings> settings) {
+    OwnServer(
+            Clock clock,
+            String service,
+            InetSocketAddress address,
+            Supplier<ServerSettings> settings) {
+        this.clock = clock;
         this.service = service;
         this.address = address;
         this.settings = settings;
@@ -41,10 +56,11 @@
             return Change.REFUSED;
         }
         Announcement known = latest;
-        if (known == null || probed || newLife(news, known)) {
+        if (known == null || probed || newLife(news, known) || replaced(news, known)) {
             boolean left = known != null && probed && known.leaving();
             latest = left && sameServer(news, known) ? withLeaving(news) : news;
             probed = false;
+            heardNanos = clock.nanos();
             return Change.LIFE;
         }
         if (news.bornMillis() < known.bornMillis()) {
@@ -60,6 +76,16 @@
         return known != null && known.serverId().equals(news.serverId());
     }
 
+    /**
+     * Returns whether the known life has ended and this is another one, whatever the clocks say.
+     */
+    private boolean replaced(Announcement news, Announcement known) {
+        boolean other =
+                !news.serverId().equals(known.serverId())
+                        || news.bornMillis() != known.bornMillis();
+        return other && clock.since(heardNanos).compareTo(SILENCE) > 0;
+    }
+
     private static boolean newLife(Announcement news, Announcement known) {
         return news.bornMillis() > known.bornMillis();
     }
@@ -69,6 +95,7 @@
         // says.
         Announcement merged = known.leaving() ? withLeaving(news) : news;
         boolean newer = news.sequence() >= known.sequence();
+        heardNanos = newer ? clock.nanos() : heardNanos;
         if (!newer && !news.leaving()) {
             return Change.NONE;
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -69,9 +69,6 @@
     private static final int SWEEPS_PER_CLEANING = 100;
     private static final Duration GOSSIP_PERIOD = Duration.ofMillis(500);
 
-    /** A backend server that has not announced itself by then is asked who it is. */
-    private static final Duration PROBE_DELAY = Duration.ofMillis(400);
-
     /** The list of backend servers may be missing for this long before the node takes calls. */
     private static final Duration FIRST_LIST = Duration.ofSeconds(2);
 
@@ -142,7 +139,8 @@
         this.sender = sender;
         this.counters = new CallCounters(registry);
         this.versions = new Versions(tables.reader());
-        this.server = new OwnServer(settings.service(), settings.server(), this::serverSettings);
+        this.server =
+                new OwnServer(clock, settings.service(), settings.server(), this::serverSettings);
         this.owner = new OwnerCalls(sender, names, clock, counters, server::local);
         this.peers = new PeerSender(sender, names, clock, counters);
         this.entry = entryCalls(names);
@@ -172,7 +170,7 @@
                         peerAddress(),
                         settings.zone());
         configurationTable.onFailure(gossip::push);
-        versions.onChange(() -> scheduler.execute(gossip::push));
+        versions.onChange(() -> scheduler.execute(this::versionChanged));
         this.probe = new ServerProbe(sender, names, settings.server());
         this.shutdown = new Shutdown(settings, clock, scheduler, this::inFlight);
         this.incarnation = clock.now().toEpochMilli();
@@ -239,7 +237,6 @@
         scheduler.execute(this::chooseSource);
         scheduler.every(SWEEP_PERIOD, this::sweep);
         scheduler.every(GOSSIP_PERIOD, gossip::tick);
-        scheduler.after(PROBE_DELAY, this::probeServer);
         log.info(
                 "started node={} zone={} service={} server={}",
                 settings.nodeId(),
@@ -292,12 +289,17 @@
         scheduler.execute(this::probeServer);
     }
 
+    private void versionChanged() {
+        gossip.push();
+        probeServer();
+    }
+
+    /** Asks the backend server who it is, if it has not announced itself to this life yet. */
     private void probeServer() {
-        if (server.latest() != null || shutdown.begun()) {
+        if (server.latest() != null || shutdown.begun() || versions.inForce() == null) {
             return;
         }
         if (versions.inForce() == null) {
-            scheduler.after(PROBE_DELAY, this::probeServer);
             return;
         }
         probe.ask(
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/OwnServerTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/OwnServerTest.java
@@ -3,16 +3,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.zinniaring.calls.ServerSettings;
+import dev.zinniaring.kernel.ManualClock;
 import dev.zinniaring.sidecar.OwnServer.Change;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class OwnServerTest {
     private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 8080);
 
+    private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
     private final OwnServer server =
-            new OwnServer("orders", ADDRESS, () -> new ServerSettings("/health", 130));
+            new OwnServer(clock, "orders", ADDRESS, () -> new ServerSettings("/health", 130));
 
     private static Announcement said(String id, long born, long sequence, boolean leaving) {
         return new Announcement(id, born, sequence, "orders", ADDRESS, 6, leaving, 0);
@@ -79,4 +83,15 @@
         assertThat(server.announced(said("i1", 10, 9, false))).isEqualTo(Change.LIFE);
         assertThat(server.local().leaving()).isTrue();
     }
+
+    /** The clock of the VM can be set back between two lives of a server. */
+    @Test
+    void aLifeThatSeemsOlderIsTakenOnceTheOtherHasFallenSilent() {
+        server.announced(said("i1", 2_000, 9, false));
+        clock.advance(Duration.ofSeconds(2));
+        assertThat(server.announced(said("i2", 500, 1, false))).isEqualTo(Change.REFUSED);
+        clock.advance(Duration.ofSeconds(3));
+        assertThat(server.announced(said("i2", 500, 2, false))).isEqualTo(Change.LIFE);
+        assertThat(server.local().serverId()).isEqualTo("i2");
+    }
 }
