--- a/distribution/src/main/java/dev/zinniaring/distribution/FloorFinder.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/FloorFinder.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.distribution;
 
+import dev.zinniaring.kernel.BackOff;
 import dev.zinniaring.membership.Member;
 import dev.zinniaring.transport.Peer;
 import java.net.InetSocketAddress;
@@ -21,7 +22,7 @@
     private final HeadReader reader;
     private final LongConsumer found;
     private final FloorDecision decision;
-    private final Backoff headBackoff;
+    private final BackOff headBackoff;
     private final long nonce;
     private boolean stopped;
     private boolean served;
@@ -34,7 +35,7 @@
         this.reader = reader;
         this.found = found;
         this.decision = new FloorDecision(seeds);
-        this.headBackoff = new Backoff(HEAD_READ, MAX_HEAD_READ, context.random());
+        this.headBackoff = new BackOff(HEAD_READ, MAX_HEAD_READ, context.random());
         this.nonce = context.random().nextLong();
     }
 
--- a/distribution/src/main/java/dev/zinniaring/distribution/Recorder.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/Recorder.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.distribution;
 
+import dev.zinniaring.kernel.BackOff;
 import dev.zinniaring.kernel.Scheduler.Cancellable;
 import dev.zinniaring.publish.PublishException;
 import dev.zinniaring.publish.VersionSource;
@@ -58,13 +59,13 @@
         private final HeldVersion version;
         private final RecordRound acks;
         private final PlatformRound rows;
-        private final Backoff backoff;
+        private final BackOff backoff;
         private @Nullable Cancellable retry;
         private int rowsPhase;
         private long rowsValue;
         private boolean askedAgain;
 
-        Round(HeldVersion version, Seeds seeds, Backoff backoff) {
+        Round(HeldVersion version, Seeds seeds, BackOff backoff) {
             this.version = version;
             this.acks = new RecordRound(version.number(), seeds);
             this.rows = new PlatformRound(version.number(), seeds);
@@ -79,7 +80,7 @@
         }
         stop();
         Round next =
-                new Round(version, seeds, new Backoff(FIRST_RETRY, MAX_RETRY, context.random()));
+                new Round(version, seeds, new BackOff(FIRST_RETRY, MAX_RETRY, context.random()));
         round = next;
         ask(next);
     }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionEngine.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.distribution;
 
+import dev.zinniaring.kernel.BackOff;
 import dev.zinniaring.kernel.Scheduler.Cancellable;
 import dev.zinniaring.membership.MemberView;
 import dev.zinniaring.model.Version;
@@ -32,8 +33,8 @@
     private final FloorFinder floors;
     private final Recorder recorder;
     private final VersionSpread spread;
-    private final Backoff bodyBackoff;
-    private final Backoff pullBackoff;
+    private final BackOff bodyBackoff;
+    private final BackOff pullBackoff;
     private final List<Cancellable> timers = new CopyOnWriteArrayList<>();
     private OptionalLong readerSinceNanos = OptionalLong.empty();
     private volatile boolean running;
@@ -52,11 +53,11 @@
         this.state = state;
         this.listener = listener;
         pullBackoff =
-                new Backoff(
+                new BackOff(
                         context.timings().startJitter(),
                         context.timings().retry().multipliedBy(2),
                         context.random());
-        bodyBackoff = new Backoff(context.timings().bodyAfter(), MAX_BODY_READ, context.random());
+        bodyBackoff = new BackOff(context.timings().bodyAfter(), MAX_BODY_READ, context.random());
         spread = new VersionSpread(context, state, this::accepted);
         recorder = new Recorder(context, seeds, desk, source, executor, spread::recordedHere);
         reader =
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarSettings.java
@@ -15,7 +15,6 @@
  * @param readiness where the readiness is asked for
  * @param announcements where the backend server announces itself
  * @param operations where metrics and state are served
- * @param drain time after which a leaving backend server gets no more calls
  * @param grace time between the request to end and the forced end
  * @param repeatRatio repeats of all nodes together for each call of a service
  * @param repeatAllowance repeats of all nodes together that need no call, in one window
@@ -31,7 +30,6 @@
         InetSocketAddress readiness,
         InetSocketAddress announcements,
         InetSocketAddress operations,
-        Duration drain,
         Duration grace,
         double repeatRatio,
         double repeatAllowance,
