Name the reserved slots, probes and compression by their usual terms

Cause: a reader who is new to the code stumbles over an express lane, signs of life, a rehearsal and packing.

Ruled out: nothing.

No behaviour changes.

--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -39,7 +39,7 @@
     private final Supplier<@Nullable LocalServer> servers;
     private final SlotQueue<OwnerJob> queue = new SlotQueue<>();
     private final Set<Run> running = new HashSet<>();
-    private final ExpressLane lane = new ExpressLane();
+    private final SlotReservation reservation = new SlotReservation();
     private final RunTimes runTimes = new RunTimes();
     private Runnable misdirected = () -> {};
     private long runningNanos;
@@ -116,9 +116,9 @@
             return;
         }
         long nowNanos = clock.nanos();
-        boolean express = express(job, nowNanos);
-        int usable = express ? slots(server) : lane.commonSlots(slots(server));
-        if (running.size() < usable && (express || queue.size() == 0)) {
+        boolean urgent = urgent(job, nowNanos);
+        int usable = urgent ? slots(server) : reservation.commonSlots(slots(server));
+        if (running.size() < usable && (urgent || queue.size() == 0)) {
             new Run(job, server).start();
             return;
         }
@@ -127,7 +127,7 @@
                         job,
                         new SlotQueue.Demand(
                                 job.rankOrder(),
-                                express,
+                                urgent,
                                 expectedNanos(job),
                                 job.targetNanos(),
                                 job.deadlineNanos()),
@@ -142,8 +142,8 @@
         job.onCancel(() -> queue.remove(entry));
     }
 
-    private boolean express(OwnerJob job, long nowNanos) {
-        return lane.admit(job.rankOrder(), job.routeTargetMillis(), nowNanos);
+    private boolean urgent(OwnerJob job, long nowNanos) {
+        return reservation.isUrgent(job.rankOrder(), job.routeTargetMillis(), nowNanos);
     }
 
     private @Nullable String refusal(OwnerJob job, @Nullable LocalServer server) {
@@ -183,8 +183,8 @@
             if (server == null || running.size() >= slots(server)) {
                 return;
             }
-            boolean expressOnly = running.size() >= lane.commonSlots(slots(server));
-            OwnerJob next = queue.poll(expressOnly, nowNanos);
+            boolean urgentOnly = running.size() >= reservation.commonSlots(slots(server));
+            OwnerJob next = queue.poll(urgentOnly, nowNanos);
             if (next == null) {
                 return;
             }
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -14,9 +14,9 @@
 import java.util.Set;
 
 /**
- * Sends calls to the nodes beside other backend servers, and learns which nodes do not answer. A
- * node that is silent while it has calls is asked for a sign of life; without one it is suspected,
- * and the calls that may be repeated are given up.
+ * Sends calls to the nodes beside other backend servers, and detects nodes that fail. A node that
+ * is silent while it has calls is probed; if the probe fails it is suspected, and the calls that
+ * may be repeated are given up.
  */
 public final class PeerSender {
     /**
@@ -29,12 +29,12 @@
 
     private static final long ANSWER_GRACE_MILLIS = 150;
 
-    /** A node with calls that has not been heard for this long is asked for a sign of life. */
+    /** A node with calls that has not been heard for this long is probed. */
     private static final long QUIET_NANOS = 350_000_000L;
 
-    private static final int SIGN_MILLIS = 350;
+    private static final int PROBE_TIMEOUT_MILLIS = 350;
 
-    /** A suspected node is asked this often. */
+    /** A suspected node is probed this often. */
     private static final long SUSPECT_PERIOD_NANOS = 500_000_000L;
 
     private final HttpSender sender;
@@ -42,7 +42,7 @@
     private final Clock clock;
     private final CallCounters counters;
     private final Map<String, Peer> peers = new HashMap<>();
-    private final Outbound sign = signOfLife(new DefaultHttpHeaders());
+    private final Outbound probe = probe(new DefaultHttpHeaders());
 
     /** Creates a sender of calls. */
     public PeerSender(HttpSender sender, HeaderNames names, Clock clock, CallCounters counters) {
@@ -52,8 +52,16 @@
         this.counters = counters;
     }
 
-    private static Outbound signOfLife(HttpHeaders headers) {
-        return new Outbound("GET", "/alive", headers, new byte[0], SIGN_MILLIS, SIGN_MILLIS, 0, "");
+    private static Outbound probe(HttpHeaders headers) {
+        return new Outbound(
+                "GET",
+                "/alive",
+                headers,
+                new byte[0],
+                PROBE_TIMEOUT_MILLIS,
+                PROBE_TIMEOUT_MILLIS,
+                0,
+                "");
     }
 
     /** Returns whether a node has not answered for a while. */
@@ -95,7 +103,7 @@
                 "");
     }
 
-    /** Asks quiet nodes for a sign of life; to be called some ten times a second. */
+    /** Probes quiet nodes; to be called some ten times a second. */
     public void sweep() {
         long nowNanos = clock.nanos();
         for (Peer peer : List.copyOf(peers.values())) {
@@ -116,8 +124,8 @@
         private final InetSocketAddress address;
         private final Set<Flight> flights = new HashSet<>();
         private long heardNanos = clock.nanos();
-        private long askedNanos = clock.nanos() - SUSPECT_PERIOD_NANOS;
-        private boolean asking;
+        private long probedNanos = clock.nanos() - SUSPECT_PERIOD_NANOS;
+        private boolean probing;
         private boolean suspected;
 
         Peer(String callAddress) {
@@ -131,13 +139,13 @@
 
         void check(long nowNanos) {
             boolean quiet = !flights.isEmpty() && nowNanos - heardNanos > QUIET_NANOS;
-            boolean due = suspected && nowNanos - askedNanos > SUSPECT_PERIOD_NANOS;
-            if (asking || (!quiet && !due)) {
+            boolean due = suspected && nowNanos - probedNanos > SUSPECT_PERIOD_NANOS;
+            if (probing || (!quiet && !due)) {
                 return;
             }
-            asking = true;
-            askedNanos = nowNanos;
-            sender.send(address, sign, new Sign(this));
+            probing = true;
+            probedNanos = nowNanos;
+            sender.send(address, probe, new Probe(this));
         }
 
         void suspect() {
@@ -154,24 +162,24 @@
         }
     }
 
-    private final class Sign implements SendListener {
+    private final class Probe implements SendListener {
         private final Peer peer;
-        private final long askedNanos = clock.nanos();
+        private final long probedNanos = clock.nanos();
 
-        Sign(Peer peer) {
+        Probe(Peer peer) {
             this.peer = peer;
         }
 
         @Override
         public void answered(Answer answer) {
-            peer.asking = false;
+            peer.probing = false;
             peer.heard();
         }
 
         @Override
         public void failed(SendFailure failure, String reason) {
-            peer.asking = false;
-            if (peer.heardNanos - askedNanos <= 0) {
+            peer.probing = false;
+            if (peer.heardNanos - probedNanos <= 0) {
                 peer.suspect();
             }
         }
--- a/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
@@ -55,14 +55,14 @@
      * What a call brings.
      *
      * @param rankOrder urgency, 0 for the most urgent
-     * @param express whether it may take the slots that are kept free for urgent calls
+     * @param urgent whether it may take the slots that are kept free for urgent calls
      * @param expectedNanos expected time in a slot
      * @param targetNanos reading of the clock up to which an answer has its full worth
      * @param deadlineNanos reading of the clock after which no answer is wanted
      */
     record Demand(
             int rankOrder,
-            boolean express,
+            boolean urgent,
             long expectedNanos,
             long targetNanos,
             long deadlineNanos) {}
@@ -83,8 +83,8 @@
         long leftNanos = demand.deadlineNanos() - nowNanos;
         double targetNanos = nowNanos + TARGET_SHARE * (demand.targetNanos() - nowNanos);
         boolean late = doneNanos > targetNanos;
-        // The caller of an express call holds a slot elsewhere, which a refusal would waste.
-        if (late && !demand.express() && waitNanos > leftNanos * LATE_WAIT_SHARE) {
+        // The caller of an urgent call holds a slot elsewhere, which a refusal would waste.
+        if (late && !demand.urgent() && waitNanos > leftNanos * LATE_WAIT_SHARE) {
             return null;
         }
         waiting.add(entry);
@@ -102,12 +102,12 @@
     /**
      * Removes the next call that can still be answered, or returns null if there is none.
      *
-     * @param expressOnly whether only the slots for urgent calls are free
+     * @param urgentOnly whether only the slots for urgent calls are free
      */
-    @Nullable T poll(boolean expressOnly, long nowNanos) {
+    @Nullable T poll(boolean urgentOnly, long nowNanos) {
         for (Iterator<Entry<T>> entries = waiting.iterator(); entries.hasNext(); ) {
             Entry<T> entry = entries.next();
-            if (hopeless(entry, nowNanos) || (expressOnly && !entry.demand.express())) {
+            if (hopeless(entry, nowNanos) || (urgentOnly && !entry.demand.urgent())) {
                 continue;
             }
             entries.remove();
--- a/calls/src/main/java/dev/zinniaring/calls/ExpressLane.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotReservation.java
@@ -12,7 +12,7 @@
  * <p>A call is urgent if its rank is more urgent than another rank seen here lately, or if its
  * target is at most half of another one.
  */
-final class ExpressLane {
+final class SlotReservation {
     /** Kinds of calls that have not come for this long are forgotten. */
     private static final long MEMORY_NANOS = 10_000_000_000L;
 
@@ -25,8 +25,8 @@
 
     private record Kind(int rankOrder, long targetMillis) {}
 
-    /** Notes a call and returns whether it is urgent. */
-    boolean admit(int rankOrder, long targetMillis, long nowNanos) {
+    /** Records a call and returns whether it is urgent. */
+    boolean isUrgent(int rankOrder, long targetMillis, long nowNanos) {
         seenNanos.put(new Kind(rankOrder, targetMillis), nowNanos);
         seenNanos.values().removeIf(seen -> nowNanos - seen > MEMORY_NANOS);
         return urgent(new Kind(rankOrder, targetMillis));
--- a/calls/src/test/java/dev/zinniaring/calls/SlotQueueTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/SlotQueueTest.java
@@ -14,7 +14,7 @@
                 rank, false, expected * MILLI, target * MILLI, deadline * MILLI);
     }
 
-    private static SlotQueue.Demand express(int rank, long expected, long target, long deadline) {
+    private static SlotQueue.Demand urgent(int rank, long expected, long target, long deadline) {
         return new SlotQueue.Demand(rank, true, expected * MILLI, target * MILLI, deadline * MILLI);
     }
 
@@ -51,7 +51,7 @@
             queue.offer("ahead", demand(0, 100, 10_000, 10_000), 2, 0, 0);
         }
         assertThat(queue.offer("late", demand(1, 100, 300, 1_000), 2, 0, 0)).isNull();
-        assertThat(queue.offer("express", express(1, 100, 300, 1_000), 2, 0, 0)).isNotNull();
+        assertThat(queue.offer("urgent", urgent(1, 100, 300, 1_000), 2, 0, 0)).isNotNull();
     }
 
     /** Slots for urgent calls must not be given to others because these wait. */
@@ -59,8 +59,8 @@
     void onlyUrgentCallsAreTakenWhileOnlyTheirSlotsAreFree() {
         queue.offer("common", demand(1, 10, 300, 800), 6, 0, 0);
         assertThat(queue.poll(true, 0)).isNull();
-        queue.offer("express", express(2, 10, 300, 800), 6, 0, 0);
-        assertThat(queue.poll(true, 0)).isEqualTo("express");
+        queue.offer("urgent", urgent(2, 10, 300, 800), 6, 0, 0);
+        assertThat(queue.poll(true, 0)).isEqualTo("urgent");
     }
 
     /** A call whose deadline passes while it waits must be refused as not run. */
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Packing.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Compression.java
@@ -7,24 +7,24 @@
 import java.util.zip.GZIPOutputStream;
 
 /** Compresses documents for their way between nodes, whose links can be narrow. */
-final class Packing {
+final class Compression {
     /** Bounds what a damaged or hostile body can take of memory. */
     private static final int MAX_BYTES = 16 * 1024 * 1024;
 
-    private Packing() {}
+    private Compression() {}
 
-    static byte[] pack(byte[] bytes) {
-        ByteArrayOutputStream packed = new ByteArrayOutputStream(bytes.length / 4 + 64);
-        try (GZIPOutputStream out = new GZIPOutputStream(packed)) {
+    static byte[] compress(byte[] bytes) {
+        ByteArrayOutputStream compressed = new ByteArrayOutputStream(bytes.length / 4 + 64);
+        try (GZIPOutputStream out = new GZIPOutputStream(compressed)) {
             out.write(bytes);
         } catch (IOException e) {
             throw new IllegalStateException("bytes could not be compressed in memory", e);
         }
-        return packed.toByteArray();
+        return compressed.toByteArray();
     }
 
-    static byte[] unpack(byte[] packed) throws SidecarException {
-        try (GZIPInputStream in = new GZIPInputStream(new ByteArrayInputStream(packed))) {
+    static byte[] decompress(byte[] compressed) throws SidecarException {
+        try (GZIPInputStream in = new GZIPInputStream(new ByteArrayInputStream(compressed))) {
             byte[] bytes = in.readNBytes(MAX_BYTES + 1);
             if (bytes.length > MAX_BYTES) {
                 throw new SidecarException("a document has more than " + MAX_BYTES + " bytes");
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -27,7 +27,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Compares notes with other nodes. News spread inside an availability zone by pushes to a few
+ * Exchanges digests with other nodes. Changes spread inside an availability zone by pushes to a few
  * nodes, which push on, and by a question to the zone's reader twice a second. A node that the
  * store does not reach learns from its peers in this way, and a node that starts while the store is
  * away is called by those that know its address.
@@ -218,7 +218,7 @@
 
     private void configuration(Exchange exchange) {
         Versions.Held held = versions.held();
-        exchange.answer(held == null ? Answer.of(NOT_FOUND) : Answer.bytes(OK, held.packed()));
+        exchange.answer(held == null ? Answer.of(NOT_FOUND) : Answer.bytes(OK, held.compressed()));
     }
 
     private void compare(Digest theirs, String address, boolean sameZone) {
@@ -273,9 +273,9 @@
                 });
     }
 
-    private void offer(byte[] packed, String address) {
+    private void offer(byte[] compressed, String address) {
         try {
-            versions.offer(Packing.unpack(packed), "peer " + address);
+            versions.offer(Compression.decompress(compressed), "peer " + address);
         } catch (SidecarException e) {
             log.warn("refused a document from={} cause=\"{}\"", address, e.getMessage());
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Versions.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Versions.java
@@ -20,7 +20,7 @@
 
     /** A configuration and the compressed bytes that it was read from. */
     @SuppressWarnings("ArrayRecordComponent") // never compared
-    record Held(Configuration configuration, byte[] packed) {}
+    record Held(Configuration configuration, byte[] compressed) {}
 
     Versions(ConfigurationReader reader) {
         this.reader = reader;
@@ -44,7 +44,7 @@
         if (now != null && offered.number() <= now.configuration().number()) {
             return true;
         }
-        held.set(new Held(offered, Packing.pack(bytes)));
+        held.set(new Held(offered, Compression.compress(bytes)));
         changed.run();
         log.info(
                 "configuration in force version={} routes={} from={}",
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/MessagesTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/MessagesTest.java
@@ -29,7 +29,7 @@
         assertThatThrownBy(() -> RecordCodec.decode(text)).isInstanceOf(SidecarException.class);
         assertThatThrownBy(() -> Digest.decode(text)).isInstanceOf(SidecarException.class);
         assertThatThrownBy(() -> Snapshot.decode(text)).isInstanceOf(SidecarException.class);
-        assertThatThrownBy(() -> Packing.unpack(text)).isInstanceOf(SidecarException.class);
+        assertThatThrownBy(() -> Compression.decompress(text)).isInstanceOf(SidecarException.class);
     }
 
     /** Damage anywhere in a message must not raise anything but a refusal. */
@@ -49,10 +49,10 @@
     }
 
     @Test
-    void aDocumentIsUnpackedAsItWasPacked() throws SidecarException {
+    void aDocumentIsDecompressedAsItWasCompressed() throws SidecarException {
         byte[] document = "{\"version\":1}".repeat(1_000).getBytes(StandardCharsets.UTF_8);
-        byte[] packed = Packing.pack(document);
-        assertThat(packed.length).isLessThan(document.length / 8);
-        assertThat(Packing.unpack(packed)).isEqualTo(document);
+        byte[] compressed = Compression.compress(document);
+        assertThat(compressed.length).isLessThan(document.length / 8);
+        assertThat(Compression.decompress(compressed)).isEqualTo(document);
     }
 }
