Remove a counter and a method that nothing calls

Cause: a last read of the change: HttpSender.connects and PeerSender.heard(String) have no caller.

Ruled out: nothing.

Change: both are removed; no behaviour changes.

--- a/calls/src/main/java/dev/zinniaring/calls/HttpSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpSender.java
@@ -38,7 +38,6 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Map<InetSocketAddress, Deque<ClientConnection>> idle = new HashMap<>();
-    private long connects;
 
     /** Creates a sender on a group of one event loop. */
     public HttpSender(EventLoopGroup group, Clock clock) {
@@ -81,11 +80,6 @@
         idle.values().removeIf(Deque::isEmpty);
     }
 
-    /** Returns the number of connections opened so far. */
-    public long connects() {
-        return connects;
-    }
-
     void keep(ClientConnection connection) {
         idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
                 .addFirst(connection);
@@ -147,7 +141,6 @@
         }
 
         private void connect() {
-            connects++;
             ClientConnection made = new ClientConnection(HttpSender.this, address);
             ChannelFuture opening =
                     new Bootstrap()
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -112,14 +112,6 @@
         peers.values().removeIf(peer -> peer.flights.isEmpty() && !peer.suspected);
     }
 
-    /** Notes that a node has been heard by other means. */
-    public void heard(String callAddress) {
-        Peer peer = peers.get(callAddress);
-        if (peer != null) {
-            peer.heard();
-        }
-    }
-
     private final class Peer {
         private final InetSocketAddress address;
         private final Set<Flight> flights = new HashSet<>();
