Keep a call at a suspected node until a second server has it

Cause: a node whose peer did not answer one probe gave up every call there that may be repeated, and answered 502 if no other server was to be had, if the budget of repeats was spent, or if the second server refused. The server beside the silent node went on running the call. Ruled out: the end of the leaving process (it answered 1.05 s after SIGTERM, well within its grace) and a reset of the connection (its reason would be in the log line). Change: after one failed probe the call is sent to a second server if it may be repeated, and the first goes on; the first whole answer counts. After two failed probes in a row it is given up if no second server has it, but not by a node that leaves.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -5,12 +5,16 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
-/** One call at its entry node, from its arrival to its only answer. */
+/**
+ * One call at its entry node, from its arrival to its only answer. While a node is suspected, a
+ * call may be at two backend servers; the first whole answer counts.
+ */
 final class EntryCall {
     private static final int SERVER_ERROR = 500;
     private static final int FAILED = 502;
@@ -20,6 +24,12 @@
     /** Nodes that are asked for a place before the call is refused. */
     private static final int MAX_PLACEMENTS = 4;
 
+    /**
+     * A call that may be repeated is given up after this many failed probes of its node in a row.
+     * After one, nodes that were only slow lost calls which their backend servers were running.
+     */
+    private static final int GIVE_UP_PROBES = 2;
+
     private static final long MILLI_NANOS = 1_000_000L;
 
     private final EntryCalls calls;
@@ -33,9 +43,8 @@
     private final long targetNanos;
     private final Set<String> tried = new HashSet<>();
     private @Nullable Future<?> timer;
-    private @Nullable OwnerJob job;
+    private final Set<Attempt> running = new HashSet<>();
     private @Nullable EndpointRecord server;
-    private long sentNanos;
     private int placements;
     private int attempts;
     private boolean mayHaveRun;
@@ -72,11 +81,7 @@
         if (exchange.ended()) {
             return;
         }
-        EndpointRecord chosen =
-                placements >= MAX_PLACEMENTS
-                        ? null
-                        : calls.placement()
-                                .choose(calls.servers().of(service), tried, route, targetNanos);
+        EndpointRecord chosen = choose();
         if (chosen == null) {
             giveUp();
             return;
@@ -84,33 +89,16 @@
         placements++;
         tried.add(chosen.serverId());
         server = chosen;
-        sentNanos = clock.nanos();
-        OwnerJob placed =
-                new OwnerJob(
-                        chosen.serverId(),
-                        exchange,
-                        callId,
-                        route.route().name(),
-                        route.targetMillis(),
-                        route.rankOrder(),
-                        deadlineNanos,
-                        targetNanos,
-                        this::ended);
-        job = placed;
-        calls.placement().started(chosen);
-        if (chosen.callAddress().equals(calls.settings().peerAddress())) {
-            calls.owner().accept(placed);
-        } else {
-            calls.peers().send(placed, chosen, route);
-        }
+        new Attempt(chosen).start();
+    }
+
+    private @Nullable EndpointRecord choose() {
+        return placements >= MAX_PLACEMENTS
+                ? null
+                : calls.placement().choose(calls.servers().of(service), tried, route, targetNanos);
     }
 
     private void ended(OwnerResult result) {
-        job = null;
-        EndpointRecord used = server;
-        if (used != null) {
-            calls.placement().ended(used, route, clock.nanos() - sentNanos, result);
-        }
         if (exchange.ended()) {
             return;
         }
@@ -148,7 +136,7 @@
     private void declined(OwnerResult result) {
         attempts++;
         lastReason = result.reason();
-        if (attempts < route.maxAttempts() && calls.budget().take(service)) {
+        if (attemptsLeft() && calls.budget().take(service)) {
             repeat(result.reason());
         } else {
             giveUp();
@@ -166,10 +154,25 @@
         }
     }
 
+    /**
+     * Sends the call to a second server if it may be repeated, and goes on waiting for the first.
+     */
+    private boolean hedge() {
+        if (exchange.ended() || choose() == null || !mayRepeat()) {
+            return false;
+        }
+        repeat("peer-suspected");
+        return true;
+    }
+
+    private boolean attemptsLeft() {
+        return attempts + running.size() < route.maxAttempts();
+    }
+
     private boolean mayRepeat() {
         double leftNanos = deadlineNanos - clock.nanos();
         return route.route().idempotent()
-                && attempts < route.maxAttempts()
+                && attemptsLeft()
                 && leftNanos > calls.placement().meanNanos(route) / 2
                 && calls.budget().take(service);
     }
@@ -181,6 +184,9 @@
     }
 
     private void giveUp() {
+        if (!running.isEmpty()) {
+            return;
+        }
         if (mayHaveRun) {
             calls.counters().increment("failed");
             log("failed", lastReason);
@@ -206,8 +212,7 @@
         if (exchange.ended()) {
             return;
         }
-        boolean sent = job != null || mayHaveRun;
-        cancelJob();
+        boolean sent = !running.isEmpty() || mayHaveRun;
         calls.counters().increment("timed_out");
         log("timed-out", lastReason);
         finish(refusal(sent ? DEADLINE : UNAVAILABLE), "timed-out");
@@ -222,22 +227,17 @@
 
     private void cancelled() {
         calls.counters().increment("callers_left");
-        cancelJob();
+        cancelRunning();
         stopTimer();
     }
 
-    private void cancelJob() {
-        OwnerJob running = job;
-        EndpointRecord used = server;
-        job = null;
-        if (running != null && used != null) {
-            calls.placement().ended(used, route, 0, null);
-            running.cancel();
-        }
+    private void cancelRunning() {
+        List.copyOf(running).forEach(Attempt::cancel);
     }
 
     private void finish(Answer answer, String outcome) {
         stopTimer();
+        cancelRunning();
         calls.counters()
                 .answered(route.rankOrder(), outcome, clock.nanos() - exchange.arrivedNanos());
         exchange.answer(answer);
@@ -276,4 +276,65 @@
                         "left_ms",
                         (deadlineNanos - clock.nanos()) / MILLI_NANOS);
     }
+
+    /** The call at one backend server. */
+    private final class Attempt {
+        private final EndpointRecord used;
+        private final long sentNanos = clock.nanos();
+        private final OwnerJob job;
+        private boolean hedged;
+
+        Attempt(EndpointRecord used) {
+            this.used = used;
+            this.job =
+                    new OwnerJob(
+                            used.serverId(),
+                            exchange,
+                            callId,
+                            route.route().name(),
+                            route.targetMillis(),
+                            route.rankOrder(),
+                            deadlineNanos,
+                            targetNanos,
+                            this::ended);
+            job.onSuspicion(this::suspected);
+        }
+
+        void start() {
+            running.add(this);
+            calls.placement().started(used);
+            if (used.callAddress().equals(calls.settings().peerAddress())) {
+                calls.owner().accept(job);
+            } else {
+                calls.peers().send(job, used);
+            }
+        }
+
+        private void ended(OwnerResult result) {
+            running.remove(this);
+            calls.placement().ended(used, route, clock.nanos() - sentNanos, result);
+            EntryCall.this.ended(result);
+        }
+
+        /**
+         * Tries a second server. If there is none, the caller is told, so that it can go elsewhere;
+         * but the calls of a node that leaves get the answers that they can still have.
+         */
+        private void suspected(int failedProbes) {
+            hedged = hedged || hedge();
+            if (failedProbes >= GIVE_UP_PROBES
+                    && running.size() == 1
+                    && route.route().idempotent()
+                    && !calls.leaving()) {
+                job.cancel();
+                ended(OwnerResult.unknown("peer-silent", null));
+            }
+        }
+
+        void cancel() {
+            running.remove(this);
+            calls.placement().ended(used, route, 0, null);
+            job.cancel();
+        }
+    }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -107,6 +107,10 @@
         placement.retain(servers.get()::knows);
     }
 
+    boolean leaving() {
+        return leaving;
+    }
+
     EntrySettings settings() {
         return settings;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.calls;
 
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
 /** A call that an entry node has given to the node beside a backend server. */
 final class OwnerJob {
@@ -14,6 +15,7 @@
     private final long targetNanos;
     private final Consumer<OwnerResult> results;
     private Runnable cancellation = () -> {};
+    private IntConsumer suspicion = failedProbes -> {};
     private boolean ended;
 
     /**
@@ -88,6 +90,18 @@
         cancellation = action;
     }
 
+    /** Sets what takes the number of probes in a row that the node with the job did not answer. */
+    void onSuspicion(IntConsumer action) {
+        suspicion = action;
+    }
+
+    /** Tells that the node with the job did not answer a probe; the job goes on. */
+    void suspected(int failedProbes) {
+        if (!ended) {
+            suspicion.accept(failedProbes);
+        }
+    }
+
     /** Ends the job with a result; does nothing if it has ended. */
     void end(OwnerResult result) {
         if (!ended) {
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -71,9 +71,9 @@
     }
 
     /** Sends a job to the node beside a server; the job ends with a result. */
-    void send(OwnerJob job, EndpointRecord server, CallRoute route) {
+    void send(OwnerJob job, EndpointRecord server) {
         Peer peer = peers.computeIfAbsent(server.callAddress(), Peer::new);
-        Flight flight = new Flight(job, peer, route.route().idempotent());
+        Flight flight = new Flight(job, peer);
         peer.flights.add(flight);
         flight.sending = sender.send(peer.address, request(job), flight);
         job.onCancel(flight::cancel);
@@ -119,6 +119,7 @@
         private long probedNanos = clock.nanos() - SUSPECT_PERIOD_NANOS;
         private boolean probing;
         private boolean suspected;
+        private int failedProbes;
 
         Peer(String callAddress) {
             address = Addresses.parse(callAddress);
@@ -127,12 +128,13 @@
         void heard() {
             heardNanos = clock.nanos();
             suspected = false;
+            failedProbes = 0;
         }
 
         void check(long nowNanos) {
             boolean quiet = !flights.isEmpty() && nowNanos - heardNanos > QUIET_NANOS;
-            boolean due = suspected && nowNanos - probedNanos > SUSPECT_PERIOD_NANOS;
-            if (probing || (!quiet && !due)) {
+            boolean due = nowNanos - probedNanos > SUSPECT_PERIOD_NANOS;
+            if (probing || !(suspected ? due : quiet)) {
                 return;
             }
             probing = true;
@@ -147,9 +149,7 @@
                 sender.forget(address);
             }
             for (Flight flight : new ArrayList<>(flights)) {
-                if (flight.repeatable) {
-                    flight.giveUp();
-                }
+                flight.job.suspected(failedProbes);
             }
         }
     }
@@ -172,6 +172,7 @@
         public void failed(SendFailure failure, String reason) {
             peer.probing = false;
             if (peer.heardNanos - probedNanos <= 0) {
+                peer.failedProbes++;
                 peer.suspect();
             }
         }
@@ -180,13 +181,11 @@
     private final class Flight implements SendListener {
         private final OwnerJob job;
         private final Peer peer;
-        private final boolean repeatable;
         private HttpSender.Sending sending = () -> {};
 
-        Flight(OwnerJob job, Peer peer, boolean repeatable) {
+        Flight(OwnerJob job, Peer peer) {
             this.job = job;
             this.peer = peer;
-            this.repeatable = repeatable;
         }
 
         void cancel() {
@@ -194,12 +193,6 @@
             sending.cancel();
         }
 
-        void giveUp() {
-            peer.flights.remove(this);
-            sending.cancel();
-            job.end(OwnerResult.unknown("peer-silent", null));
-        }
-
         @Override
         public void answered(Answer answer) {
             peer.flights.remove(this);
--- a/calls/src/test/java/dev/zinniaring/calls/PeerSenderTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/PeerSenderTest.java
@@ -5,25 +5,16 @@
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.EndpointRecord;
 import dev.zinniaring.model.EndpointState;
-import dev.zinniaring.model.Route;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.util.Map;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class PeerSenderTest {
-    private static final CallRoute ROUTE =
-            new CallRoute(
-                    new Route("r", "h", "/", new TreeSet<>(), "k", true, 800, 1, "p"),
-                    0,
-                    WeightedTurns.of(Map.of("s", 1)));
-
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final Clock clock = Clock.system();
     private final PeerSender peers =
@@ -63,7 +54,7 @@
                         deadlineNanos,
                         deadlineNanos,
                         result::complete);
-        group.execute(() -> peers.send(job, server, ROUTE));
+        group.execute(() -> peers.send(job, server));
         return result.get(10, TimeUnit.SECONDS);
     }
 
