Add a soak that runs nodes as processes under faults from outside

Cause: faults were injected in one process or by the users' bench; signals, links that go silent one way and a store that misbehaves were met by no test of our own with real processes. The operator's limits of head bytes and head time were read and not enforced. Ruled out: a proxy at the port of a node without a setting, as nodes announce the port at which they listen; hence the setting announcedPeerCalls, which is also what a node behind a proxy needs. Free ephemeral ports: in a trial a connection of another run took one before its node had opened it. Change: module soak: 26 kinds of fault drawn from a seed, alone, in series and overlapping; promises checked from what callers and backend servers saw. HttpListener enforces the limits; requests between nodes have room for the headers that nodes add. Addresses.text replaces four copies.

--- a/calls/src/main/java/dev/zinniaring/calls/Addresses.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Addresses.java
@@ -32,6 +32,11 @@
         }
     }
 
+    /** Returns an address as {@link #parse} reads it. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     private static byte[] bytes(String ip, String text) {
         String[] parts = ip.split("\\.", -1);
         if (parts.length != 4) {
--- a/calls/src/main/java/dev/zinniaring/calls/ClientLimits.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ClientLimits.java
@@ -13,4 +13,16 @@
     /** Limits that hold until a configuration is known. */
     public static final ClientLimits DEFAULT =
             new ClientLimits(16 * 1024, 16 * 1024 * 1024, 5_000, 30_000);
+
+    /** Room for the headers that nodes add to a request, in bytes. */
+    private static final int HOP_HEADER_BYTES = 4 * 1024;
+
+    /** Returns the limits of requests that another node passes on. */
+    public ClientLimits forPeers() {
+        return new ClientLimits(
+                (int) Math.min(Integer.MAX_VALUE, (long) maxHeaderBytes + HOP_HEADER_BYTES),
+                maxBodyBytes,
+                headerTimeoutMillis,
+                idleTimeoutMillis);
+    }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -5,6 +5,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -74,7 +76,10 @@
                         .childHandler(new Connections());
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new KernelException("cannot listen at " + address, bound.cause());
+            throw new KernelException(
+                    "cannot listen at %s: %s"
+                            .formatted(Addresses.text(address), bound.cause().getMessage()),
+                    bound.cause());
         }
         channel = bound.channel();
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -150,15 +155,33 @@
     private final class Connections extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel socket) {
+            int maxHeadBytes = Math.min(MAX_HEAD_BYTES, limits().maxHeaderBytes());
             HttpDecoderConfig config =
                     new HttpDecoderConfig()
-                            .setMaxInitialLineLength(MAX_HEAD_BYTES)
-                            .setMaxHeaderSize(MAX_HEAD_BYTES);
+                            .setMaxInitialLineLength(maxHeadBytes)
+                            .setMaxHeaderSize(maxHeadBytes);
+            ServerConnection connection = new ServerConnection(HttpListener.this);
             socket.pipeline()
                     .addLast(
+                            new Arrivals(connection),
                             new HttpRequestDecoder(config),
                             new HttpResponseEncoder(),
-                            new ServerConnection(HttpListener.this));
+                            connection);
+        }
+    }
+
+    /** Tells a connection of bytes that need not complete a head yet. */
+    private static final class Arrivals extends ChannelInboundHandlerAdapter {
+        private final ServerConnection connection;
+
+        Arrivals(ServerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.bytesArrived();
+            context.fireChannelRead(message);
         }
     }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerConnection.java
@@ -47,6 +47,8 @@
     private @Nullable HttpRequest head;
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private long headNanos;
+    private boolean headBegun;
+    private long headBegunNanos;
     private @Nullable Exchange exchange;
     private boolean lastAnswer;
     private long idleSinceNanos;
@@ -95,6 +97,14 @@
         advance();
     }
 
+    /** Notes when the head of the next request begins to arrive. */
+    void bytesArrived() {
+        if (exchange == null && !reading && !headBegun) {
+            headBegun = true;
+            headBegunNanos = listener.clock().nanos();
+        }
+    }
+
     /** Takes up what has been read, until a request is whole or nothing is left. */
     private void advance() {
         if (advancing) {
@@ -142,6 +152,7 @@
     private void begin(HttpRequest request) {
         head = request;
         reading = true;
+        headBegun = false;
         body = new ByteArrayOutputStream(0);
         headNanos = listener.clock().nanos();
         if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
@@ -260,7 +271,9 @@
             return;
         }
         ClientLimits limits = listener.limits();
-        if (reading && nowNanos - headNanos > nanos(limits.idleTimeoutMillis())) {
+        if (headBegun && nowNanos - headBegunNanos > nanos(limits.headerTimeoutMillis())) {
+            refuse(REQUEST_TIMEOUT);
+        } else if (reading && nowNanos - headNanos > nanos(limits.idleTimeoutMillis())) {
             refuse(REQUEST_TIMEOUT);
         } else if (!reading && nowNanos - idleSinceNanos > nanos(limits.idleTimeoutMillis())) {
             open.close();
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.sidecar;
 
+import dev.zinniaring.calls.Addresses;
 import dev.zinniaring.calls.Answer;
 import dev.zinniaring.calls.CallCounters;
 import dev.zinniaring.calls.ClientLimits;
@@ -31,6 +32,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -145,8 +147,8 @@
         this.peers = new PeerSender(sender, names, clock, counters);
         this.entry = entryCalls(names);
         this.peerCalls = new PeerCalls(owner, names);
-        this.callListener = listener(entry);
-        this.peerListener = listener(this::fromPeer);
+        this.callListener = listener(this::limits, entry);
+        this.peerListener = listener(() -> limits().forPeers(), this::fromPeer);
         this.configurationTable =
                 follower(
                         tables.configurationTable(),
@@ -198,8 +200,8 @@
                 .build();
     }
 
-    private HttpListener listener(ExchangeHandler handler) {
-        return new HttpListener(group, clock, this::limits, handler);
+    private HttpListener listener(Supplier<ClientLimits> limits, ExchangeHandler handler) {
+        return new HttpListener(group, clock, limits, handler);
     }
 
     private TableFollower follower(
@@ -220,8 +222,7 @@
     }
 
     private String peerAddress() {
-        InetSocketAddress address = settings.peerCalls();
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return Addresses.text(settings.announcedPeerCalls());
     }
 
     /**
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarSettings.java
@@ -12,6 +12,8 @@
  * @param server where the backend server takes requests
  * @param calls where callers send calls
  * @param peerCalls where other nodes send calls and digests
+ * @param announcedPeerCalls where other nodes reach {@code peerCalls}; differs from it behind a
+ *     proxy
  * @param readiness where the readiness is asked for
  * @param announcements where the backend server announces itself
  * @param operations where metrics and state are served
@@ -27,6 +29,7 @@
         InetSocketAddress server,
         InetSocketAddress calls,
         InetSocketAddress peerCalls,
+        InetSocketAddress announcedPeerCalls,
         InetSocketAddress readiness,
         InetSocketAddress announcements,
         InetSocketAddress operations,
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/ShutdownTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/ShutdownTest.java
@@ -31,6 +31,7 @@
                 ANY,
                 ANY,
                 ANY,
+                ANY,
                 Duration.ofSeconds(6),
                 0.1,
                 10,
--- /dev/null
+++ b/soak/src/main/java/dev/zinniaring/soak/Callers.java
@@ -0,0 +1,189 @@
+package dev.zinniaring.soak;
+
+import dev.zinniaring.calls.Addresses;
+import dev.zinniaring.soak.Observations.Outcome;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Callers of all nodes, at a steady rate for each node, on kept connections. Nothing is sent twice.
+ */
+final class Callers {
+    /** With this load a third of the slots of the backend servers is free. */
+    private static final long PERIOD_MILLIS_PER_NODE = 72;
+
+    /** Of the callers of long calls, one in this many leaves. */
+    private static final int LEAVING_SHARE = 3;
+
+    private static final long LEAVES_AFTER_MILLIS = 150;
+
+    /** A caller goes on reading for a moment after its deadline. */
+    private static final long READS_ON_MILLIS = 100;
+
+    private static final int MAX_CALLS = 2_000;
+
+    private final List<InetSocketAddress> nodes;
+    private final Observations observations;
+    private final ScheduledExecutorService timer;
+    private final SplittableRandom random;
+    private final AtomicInteger pending = new AtomicInteger();
+    private final OkHttpClient client;
+    private @Nullable ScheduledFuture<?> sending;
+    private int sent;
+
+    Callers(
+            List<InetSocketAddress> nodes,
+            Observations observations,
+            ScheduledExecutorService timer,
+            SplittableRandom random) {
+        this.nodes = nodes;
+        this.observations = observations;
+        this.timer = timer;
+        this.random = random;
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(MAX_CALLS);
+        dispatcher.setMaxRequestsPerHost(MAX_CALLS);
+        client =
+                new OkHttpClient.Builder()
+                        .dispatcher(dispatcher)
+                        .connectionPool(new ConnectionPool(100, 10, TimeUnit.SECONDS))
+                        .retryOnConnectionFailure(false)
+                        .followRedirects(false)
+                        .connectTimeout(Duration.ofSeconds(1))
+                        .callTimeout(Duration.ofMillis(Route.DEADLINE_MILLIS + READS_ON_MILLIS))
+                        .readTimeout(Duration.ZERO)
+                        .build();
+    }
+
+    void start() {
+        long periodMillis = Math.max(1, PERIOD_MILLIS_PER_NODE / nodes.size());
+        sending =
+                timer.scheduleAtFixedRate(
+                        this::send, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends no more calls, and waits for those that have not ended. */
+    void stop() throws InterruptedException {
+        ScheduledFuture<?> running = sending;
+        if (running != null) {
+            running.cancel(false);
+        }
+        for (int i = 0; pending.get() > 0 && i < 50; i++) {
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private void send() {
+        sent++;
+        int node = random.nextInt(nodes.size());
+        Route route = Route.values()[sent % Route.values().length];
+        String id = "c-" + sent;
+        Request request =
+                new Request.Builder()
+                        .url(
+                                "http://%s%s%s"
+                                        .formatted(
+                                                Addresses.text(nodes.get(node)),
+                                                route.prefix(),
+                                                id))
+                        .header("Host", Route.HOST)
+                        .header("X-Attempt-Id", id)
+                        .header("X-Deadline-Ms", Integer.toString(Route.DEADLINE_MILLIS))
+                        .method(
+                                route.idempotent() ? "GET" : "POST",
+                                route.idempotent() ? null : RequestBody.create(new byte[0]))
+                        .build();
+        okhttp3.Call call = client.newCall(request);
+        boolean leaves = route == Route.REPORT && random.nextInt(LEAVING_SHARE) == 0;
+        pending.incrementAndGet();
+        Ended ended = new Ended(id, node, route, observations.nowMillis());
+        if (leaves) {
+            timer.schedule(
+                    () -> {
+                        ended.left = true;
+                        call.cancel();
+                    },
+                    LEAVES_AFTER_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+        call.enqueue(ended);
+    }
+
+    private final class Ended implements Callback {
+        private final String id;
+        private final int node;
+        private final Route route;
+        private final long sentMillis;
+        private volatile boolean left;
+
+        Ended(String id, int node, Route route, long sentMillis) {
+            this.id = id;
+            this.node = node;
+            this.route = route;
+            this.sentMillis = sentMillis;
+        }
+
+        @Override
+        public void onResponse(okhttp3.Call call, Response response) {
+            try (response) {
+                String body = response.body().string();
+                end(response.code(), body, Outcome.ANSWERED);
+            } catch (IOException e) {
+                end(0, "", outcome(e));
+            }
+        }
+
+        @Override
+        public void onFailure(okhttp3.Call call, IOException failure) {
+            end(0, "", outcome(failure));
+        }
+
+        private Outcome outcome(IOException failure) {
+            if (left) {
+                return Outcome.CALLER_LEFT;
+            }
+            if (failure instanceof ConnectException) {
+                return Outcome.NO_CONNECTION;
+            }
+            if (failure instanceof SocketTimeoutException
+                    || observations.nowMillis() - sentMillis >= Route.DEADLINE_MILLIS) {
+                return Outcome.DEADLINE;
+            }
+            return Outcome.CUT;
+        }
+
+        private void end(int status, String body, Outcome outcome) {
+            pending.decrementAndGet();
+            observations.add(
+                    new Observations.Call(
+                            id,
+                            node,
+                            route,
+                            sentMillis,
+                            observations.nowMillis(),
+                            sentMillis + Route.DEADLINE_MILLIS,
+                            status,
+                            body,
+                            outcome));
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/dev/zinniaring/soak/Fault.java
@@ -0,0 +1,140 @@
+package dev.zinniaring.soak;
+
+import dev.zinniaring.standins.RowStoreServer;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * One kind of fault.
+ *
+ * @param name name in reports
+ * @param planned whether it is planned work, which callers may not notice
+ * @param wide whether it affects every node, as a fault of the store does
+ * @param begin begins it at a node
+ * @param end ends it
+ */
+record Fault(
+        String name,
+        boolean planned,
+        boolean wide,
+        BiConsumer<Fleet, Integer> begin,
+        BiConsumer<Fleet, Integer> end) {
+    private static final long DELAY_MILLIS = 120;
+
+    /** Every kind that a run may draw. */
+    static final List<Fault> ALL =
+            List.of(
+                    node("kill", false, NodeProcess::kill, NodeProcess::start),
+                    node("terminate", true, NodeProcess::terminate, NodeProcess::start),
+                    node("pause", false, NodeProcess::pause, NodeProcess::resume),
+                    node("reload", true, NodeProcess::reload, process -> {}),
+                    peerLink("peers-silent", LoopbackProxy.Mode.SILENT),
+                    peerLink("peers-cannot-reach", LoopbackProxy.Mode.REQUESTS_CUT),
+                    peerLink("peers-get-no-answers", LoopbackProxy.Mode.ANSWERS_CUT),
+                    peerLink("peers-refused", LoopbackProxy.Mode.RESET),
+                    link("peers-reset", member -> member.toNode().resetOnce(), member -> {}),
+                    link(
+                            "peers-delayed",
+                            member -> member.toNode().delayMillis(DELAY_MILLIS),
+                            member -> member.toNode().delayMillis(0)),
+                    storeLink("store-unreachable", LoopbackProxy.Mode.SILENT),
+                    storeLink("store-refused", LoopbackProxy.Mode.RESET),
+                    storeLink("store-answers-cut", LoopbackProxy.Mode.ANSWERS_CUT),
+                    store("store-busy", RowStoreServer.Fault.BUSY),
+                    store("store-throttled", RowStoreServer.Fault.THROTTLED),
+                    store("store-silent", RowStoreServer.Fault.SILENT),
+                    store("store-answers-lost", RowStoreServer.Fault.ANSWERS_LOST),
+                    heldBack(),
+                    wide(
+                            "store-slow",
+                            fleet -> fleet.store().delayMillis(4 * DELAY_MILLIS),
+                            fleet -> fleet.store().delayMillis(0)),
+                    wide("store-history-lost", fleet -> fleet.store().dropHistory(), fleet -> {}),
+                    new Fault(
+                            "configuration",
+                            true,
+                            true,
+                            (fleet, index) -> fleet.operator().change(),
+                            (fleet, index) -> {}),
+                    server("server-slow", ObservedServer.Fault.SLOW),
+                    server("server-failing", ObservedServer.Fault.FAILING),
+                    server("server-silent", ObservedServer.Fault.SILENT),
+                    link(
+                            "server-crash",
+                            member -> member.server().crash(),
+                            member -> member.server().restart()),
+                    new Fault(
+                            "server-leaves",
+                            true,
+                            false,
+                            (fleet, index) -> fleet.member(index).server().leave(),
+                            (fleet, index) -> {}));
+
+    private static Fault node(
+            String name, boolean planned, Consumer<NodeProcess> begin, Consumer<NodeProcess> end) {
+        return new Fault(
+                name,
+                planned,
+                false,
+                (fleet, index) -> begin.accept(fleet.member(index).process()),
+                (fleet, index) -> end.accept(fleet.member(index).process()));
+    }
+
+    private static Fault link(
+            String name, Consumer<Fleet.Member> begin, Consumer<Fleet.Member> end) {
+        return new Fault(
+                name,
+                false,
+                false,
+                (fleet, index) -> begin.accept(fleet.member(index)),
+                (fleet, index) -> end.accept(fleet.member(index)));
+    }
+
+    private static Fault peerLink(String name, LoopbackProxy.Mode mode) {
+        return link(
+                name,
+                member -> member.toNode().mode(mode),
+                member -> member.toNode().mode(LoopbackProxy.Mode.PASS));
+    }
+
+    private static Fault storeLink(String name, LoopbackProxy.Mode mode) {
+        return link(
+                name,
+                member -> member.toStore().mode(mode),
+                member -> member.toStore().mode(LoopbackProxy.Mode.PASS));
+    }
+
+    private static Fault wide(String name, Consumer<Fleet> begin, Consumer<Fleet> end) {
+        return new Fault(
+                name,
+                false,
+                true,
+                (fleet, index) -> begin.accept(fleet),
+                (fleet, index) -> end.accept(fleet));
+    }
+
+    private static Fault store(String name, RowStoreServer.Fault fault) {
+        return wide(
+                name,
+                fleet -> fleet.store().fault(fault),
+                fleet -> fleet.store().fault(RowStoreServer.Fault.NONE));
+    }
+
+    private static Fault heldBack() {
+        return wide(
+                "store-writes-late",
+                fleet -> fleet.store().fault(RowStoreServer.Fault.WRITES_HELD_BACK),
+                fleet -> {
+                    fleet.store().fault(RowStoreServer.Fault.NONE);
+                    fleet.store().writeHeldBack();
+                });
+    }
+
+    private static Fault server(String name, ObservedServer.Fault fault) {
+        return link(
+                name,
+                member -> member.server().fault(fault),
+                member -> member.server().fault(ObservedServer.Fault.NONE));
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/dev/zinniaring/soak/Fleet.java
@@ -0,0 +1,222 @@
+package dev.zinniaring.soak;
+
+import dev.zinniaring.calls.Addresses;
+import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.standins.RowStoreServer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+
+/** Nodes as processes, each with a backend server and with proxies before what it talks to. */
+final class Fleet implements AutoCloseable {
+    /** Grace period of a node, in seconds. */
+    static final int GRACE_SECONDS = 6;
+
+    private static final int ZONES = 2;
+
+    /**
+     * Nodes listen below the ephemeral ports, each at an address of its own: a free ephemeral port
+     * was taken by a connection of another run before the node had opened it.
+     */
+    private static final int FIRST_PORT = 20_001;
+
+    private static final int PORTS = 5;
+    private static final int BYTE_VALUES = 250;
+    private static final long START_SECONDS = 30;
+
+    private final EventLoopGroup serverLoop = new NioEventLoopGroup(1);
+    private final EventLoopGroup proxyLoop = new NioEventLoopGroup(1);
+    private final OkHttpClient client =
+            new OkHttpClient.Builder()
+                    .callTimeout(Duration.ofSeconds(1))
+                    .retryOnConnectionFailure(false)
+                    .build();
+    private final RowStoreServer store;
+    private final Operator operator;
+    private final Observations observations;
+    private final List<Member> members = new ArrayList<>();
+
+    /** Ends the nodes if the run is interrupted. */
+    private final Thread ending = new Thread(this::endProcesses);
+
+    /**
+     * One node and what stands around it.
+     *
+     * @param toStore proxy between the node and the store
+     * @param toNode proxy between other nodes and the node
+     * @param calls where callers send calls
+     * @param readiness where readiness is asked for
+     */
+    record Member(
+            NodeProcess process,
+            ObservedServer server,
+            LoopbackProxy toStore,
+            LoopbackProxy toNode,
+            InetSocketAddress calls,
+            InetSocketAddress readiness) {}
+
+    /**
+     * Puts a fleet together; no process runs yet.
+     *
+     * @param directory takes the settings and the output of the nodes
+     */
+    Fleet(
+            long seed,
+            int nodes,
+            Path directory,
+            Clock clock,
+            Observations observations,
+            SplittableRandom random)
+            throws KernelException, IOException {
+        this.observations = observations;
+        store = RowStoreServer.start();
+        operator = new Operator(store, observations);
+        Files.createDirectories(directory);
+        for (int i = 0; i < nodes; i++) {
+            members.add(member(seed, i, directory, clock, random.split()));
+        }
+    }
+
+    private static List<InetSocketAddress> ports(long seed, int index) {
+        String address =
+                "127.%d.%d.%d"
+                        .formatted(
+                                1 + ProcessHandle.current().pid() % BYTE_VALUES,
+                                seed % BYTE_VALUES,
+                                1 + index);
+        List<InetSocketAddress> ports = new ArrayList<>();
+        for (int i = 0; i < PORTS; i++) {
+            ports.add(new InetSocketAddress(address, FIRST_PORT + i));
+        }
+        return ports;
+    }
+
+    private Member member(
+            long seed, int index, Path directory, Clock clock, SplittableRandom random)
+            throws KernelException, IOException {
+        String zone = "zone-" + index / Operator.SERVICES.size() % ZONES;
+        ObservedServer server =
+                new ObservedServer(index, zone, serverLoop, client, clock, observations, random);
+        LoopbackProxy toServer = LoopbackProxy.start(proxyLoop, server.address());
+        LoopbackProxy toStore = LoopbackProxy.start(proxyLoop, store.address());
+        List<InetSocketAddress> ports = ports(seed, index);
+        LoopbackProxy toNode = LoopbackProxy.start(proxyLoop, ports.get(1));
+        String settings =
+                """
+                {"nodeId":"node-%d","zone":"%s","service":"%s","server":"%s","calls":"%s",
+                "peerCalls":"%s","announcedPeerCalls":"%s","readiness":"%s","announcements":"%s",
+                "operations":"%s","store":"%s","graceSeconds":%d,"repeatRatio":0.2,
+                "repeatAllowance":60,"repeatWindowSeconds":10}
+                """
+                        .formatted(
+                                index,
+                                zone,
+                                server.service(),
+                                Addresses.text(toServer.address()),
+                                Addresses.text(ports.get(0)),
+                                Addresses.text(ports.get(1)),
+                                Addresses.text(toNode.address()),
+                                Addresses.text(ports.get(2)),
+                                Addresses.text(ports.get(3)),
+                                Addresses.text(ports.get(4)),
+                                Addresses.text(toStore.address()),
+                                GRACE_SECONDS);
+        Path file = directory.resolve("node-%d.json".formatted(index));
+        Files.writeString(file, settings);
+        NodeProcess process =
+                new NodeProcess(
+                        file,
+                        directory.resolve("node-%d.log".formatted(index)),
+                        TimeUnit.SECONDS.toMillis(GRACE_SECONDS),
+                        clock,
+                        finding -> observations.finding("node-" + index + ": " + finding));
+        server.announce(toServer, ports.get(3));
+        return new Member(process, server, toStore, toNode, ports.get(0), ports.get(2));
+    }
+
+    /**
+     * Starts every process and waits until all are ready.
+     *
+     * @throws SoakException if one does not become ready
+     */
+    void start() throws SoakException, InterruptedException {
+        operator.change();
+        Runtime.getRuntime().addShutdownHook(ending);
+        members.forEach(member -> member.process().start());
+        for (int i = 0; i < members.size(); i++) {
+            awaitReady(i);
+        }
+    }
+
+    private void awaitReady(int index) throws SoakException, InterruptedException {
+        long giveUpMillis = observations.nowMillis() + TimeUnit.SECONDS.toMillis(START_SECONDS);
+        while (!ready(index)) {
+            if (observations.nowMillis() > giveUpMillis) {
+                throw new SoakException("node-" + index + " did not become ready");
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    private boolean ready(int index) {
+        Request request =
+                new Request.Builder()
+                        .url(
+                                "http://%s/zinniaring/ready"
+                                        .formatted(Addresses.text(members.get(index).readiness())))
+                        .build();
+        try (Response response = client.newCall(request).execute()) {
+            return response.code() == 200;
+        } catch (IOException e) {
+            // Refused until the node listens; awaitReady has the deadline.
+            return false;
+        }
+    }
+
+    RowStoreServer store() {
+        return store;
+    }
+
+    Operator operator() {
+        return operator;
+    }
+
+    Member member(int index) {
+        return members.get(index);
+    }
+
+    int size() {
+        return members.size();
+    }
+
+    List<InetSocketAddress> callAddresses() {
+        return members.stream().map(Member::calls).toList();
+    }
+
+    @Override
+    public void close() {
+        endProcesses();
+        Runtime.getRuntime().removeShutdownHook(ending);
+        store.close();
+        serverLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        proxyLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private void endProcesses() {
+        members.forEach(member -> member.process().close());
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/dev/zinniaring/soak/SoakMain.java
@@ -0,0 +1,114 @@
+package dev.zinniaring.soak;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Plays runs for a range of seeds and prints what they found. */
+public final class SoakMain {
+    private static final int OK = 0;
+    private static final int BROKEN = 1;
+    private static final int USAGE = 2;
+
+    @Option(name = "--seeds", metaVar = "FROM-TO", usage = "seeds to play, both included")
+    private String seeds = "1-1";
+
+    @Option(name = "--jobs", metaVar = "N", usage = "runs that are played at the same time")
+    private int jobs = 2;
+
+    @Option(name = "--seconds", metaVar = "N", usage = "time within which faults begin")
+    private int seconds = 15;
+
+    @Option(name = "--nodes", metaVar = "N", usage = "nodes of each run, 2 to 40")
+    private int nodes = 6;
+
+    @Option(name = "--directory", metaVar = "DIR", usage = "takes settings and logs of the nodes")
+    private Path directory = Path.of("target", "soak");
+
+    @Option(name = "--help", usage = "print this help", help = true)
+    private boolean help;
+
+    private SoakMain() {}
+
+    /** Runs the command. Exit status 1 if a promise was broken, 2 for wrong options. */
+    public static void main(String... args) throws InterruptedException {
+        System.exit(new SoakMain().run(args, System.out, System.err));
+    }
+
+    private int run(String[] args, PrintStream out, PrintStream err) throws InterruptedException {
+        CmdLineParser parser = new CmdLineParser(this);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            err.println("soak: " + e.getMessage());
+            parser.printUsage(err);
+            return USAGE;
+        }
+        if (help) {
+            parser.printUsage(out);
+            return OK;
+        }
+        String[] range = seeds.split("-", -1);
+        if (range.length != 2 || !(seeds.matches("\\d{1,9}-\\d{1,9}")) || nodes < 2 || nodes > 40) {
+            err.println("soak: --seeds takes a range such as 1-50, --nodes a number from 2 to 40");
+            return USAGE;
+        }
+        return play(Long.parseLong(range[0]), Long.parseLong(range[1]), out);
+    }
+
+    private int play(long from, long to, PrintStream out) throws InterruptedException {
+        ExecutorService runs = Executors.newFixedThreadPool(jobs);
+        List<Future<Boolean>> kept = new ArrayList<>();
+        for (long seed = from; seed <= to; seed++) {
+            long used = seed;
+            kept.add(runs.submit(() -> play(used, out)));
+        }
+        runs.shutdown();
+        int failed = 0;
+        for (Future<Boolean> each : kept) {
+            try {
+                failed += each.get() ? 0 : 1;
+            } catch (ExecutionException e) {
+                out.println("not played: " + e.getCause());
+                failed++;
+            }
+        }
+        out.printf("%d runs, %d broken or not played%n", kept.size(), failed);
+        return failed == 0 ? OK : BROKEN;
+    }
+
+    private boolean play(long seed, PrintStream out) throws SoakException, InterruptedException {
+        Soak.Result result =
+                Soak.builder(directory.resolve("seed-" + seed))
+                        .seed(seed)
+                        .nodes(nodes)
+                        .faultsMillis(seconds * 1_000L)
+                        .build()
+                        .play();
+        StringBuilder report = new StringBuilder();
+        report.append(
+                "seed %d: %d calls, %d served, %d faults, %d promises broken%n"
+                        .formatted(
+                                seed,
+                                result.calls(),
+                                result.served(),
+                                result.faults().size(),
+                                result.broken().size()));
+        if (!result.broken().isEmpty()) {
+            result.faults().forEach(fault -> report.append("  ").append(fault).append('\n'));
+            result.broken().stream()
+                    .limit(20)
+                    .forEach(each -> report.append("  broken: ").append(each).append('\n'));
+        }
+        out.print(report);
+        return result.broken().isEmpty();
+    }
+}
