Log each error of a backend server that is passed on

Cause: a call that ended with 500 of its backend server left no line, so that its id led nowhere. Ruled out: a line for each answer; only those of 500 and above are written, within the budget of lines.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -123,6 +123,9 @@
         }
         HttpHeaders headers = new DefaultHttpHeaders();
         HopHeaders.copyEndToEnd(answer.headers(), headers);
+        if (answer.status() >= SERVER_ERROR) {
+            log("server-error", "status-" + answer.status());
+        }
         calls.counters().increment("answered");
         finish(new Answer(answer.status(), headers, answer.body()), "answered");
     }
