--- a/ctl/src/main/java/dev/zinniaring/ctl/NodeStatus.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/NodeStatus.java
@@ -55,7 +55,7 @@
                 answer.path("zone").asText(""),
                 answer.path("version").asLong(0),
                 answer.path("ready").asBoolean(false),
-                waitingFor(answer.path("waitingFor")),
+                waitingFor(answer),
                 answer.path("refusedVersion").asLong(0),
                 Math.max(ids.size(), answer.path("members").asInt(0)),
                 ids,
@@ -69,8 +69,10 @@
         value.forEach(child -> collectTexts(child, texts));
     }
 
-    private static String waitingFor(JsonNode value) {
-        return value.isNumber() ? "version " + value.asLong() : value.asText("");
+    /** Returns what a node lacks; it answers 0 for the version if it waits for none. */
+    private static String waitingFor(JsonNode answer) {
+        long version = answer.path("waitingFor").asLong(0);
+        return version > 0 ? "version " + version : answer.path("waitingReason").asText("");
     }
 
     boolean reachable() {
--- /dev/null
+++ b/ctl/src/test/java/dev/zinniaring/ctl/NodeStatusTest.java
@@ -0,0 +1,34 @@
+package dev.zinniaring.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.junit.jupiter.api.Test;
+
+class NodeStatusTest {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private static String line(String answer) throws JsonProcessingException {
+        return NodeStatus.of("a:1", MAPPER.readTree(answer)).toString();
+    }
+
+    /** A node that waits for nothing answers 0, which was printed as a version. */
+    @Test
+    void aNodeThatWaitsForNothingIsNotSaidToWait() throws JsonProcessingException {
+        assertThat(line("{\"node\":\"n\",\"version\":3,\"ready\":true,\"waitingFor\":0}"))
+                .isEqualTo("n  zone   version 3  ready");
+    }
+
+    @Test
+    void aNodeThatWaitsForAVersionSaysWhich() throws JsonProcessingException {
+        assertThat(line("{\"node\":\"n\",\"version\":3,\"ready\":true,\"waitingFor\":4}"))
+                .endsWith("  waits for version 4");
+    }
+
+    @Test
+    void aNodeWithoutAFirstVersionSaysWhatItLacks() throws JsonProcessingException {
+        assertThat(line("{\"node\":\"n\",\"waitingFor\":0,\"waitingReason\":\"first version\"}"))
+                .endsWith("  not ready  waits for first version");
+    }
+}
