Set the common parts of both distributions in one builder

Ruled out: a shared Context argument, which would make callers build a part that is internal. Change: DistributionBuilder with a self type; calls of the builders are unchanged.

--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointDistribution.java
@@ -1,9 +1,6 @@
 package dev.zinniaring.distribution;
 
-import dev.zinniaring.kernel.Clock;
-import dev.zinniaring.kernel.Scheduler;
 import dev.zinniaring.kernel.Scheduler.Cancellable;
-import dev.zinniaring.membership.Membership;
 import dev.zinniaring.model.EndpointRecord;
 import dev.zinniaring.transport.Message;
 import dev.zinniaring.transport.MessageCodec;
@@ -16,7 +13,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -217,44 +213,13 @@
     }
 
     /** Collects the parts of an {@link EndpointDistribution}. */
-    public static final class Builder {
-        private @Nullable Network network;
-        private @Nullable Membership membership;
-        private Clock clock = Clock.system();
-        private @Nullable Scheduler scheduler;
-        private @Nullable RandomGenerator random;
+    public static final class Builder extends DistributionBuilder<Builder> {
         private @Nullable String callAddress;
-        private Timings timings = Timings.standard();
 
         private Builder() {}
 
-        /** Sets the network, whose messages are registered by {@link #build()}. */
-        public Builder network(Network value) {
-            network = value;
-            return this;
-        }
-
-        /** Sets where live peers and gateways come from. */
-        public Builder membership(Membership value) {
-            membership = value;
-            return this;
-        }
-
-        /** Sets the clock, by default the VM's. */
-        public Builder clock(Clock value) {
-            clock = value;
-            return this;
-        }
-
-        /** Sets what runs timers and handlers. */
-        public Builder scheduler(Scheduler value) {
-            scheduler = value;
-            return this;
-        }
-
-        /** Sets the source of jitter and random choices. */
-        public Builder random(RandomGenerator value) {
-            random = value;
+        @Override
+        Builder self() {
             return this;
         }
 
@@ -264,12 +229,6 @@
             return this;
         }
 
-        /** Sets how often the node does what. */
-        public Builder timings(Timings value) {
-            timings = value;
-            return this;
-        }
-
         /**
          * Returns the distribution and registers its messages with the network.
          *
@@ -278,17 +237,5 @@
         public EndpointDistribution build() {
             return new EndpointDistribution(this);
         }
-
-        private Context context() {
-            Scheduler timers = Objects.requireNonNull(scheduler, "scheduler");
-            return new Context(
-                    Objects.requireNonNull(network, "network"),
-                    Objects.requireNonNull(membership, "membership"),
-                    clock,
-                    timers,
-                    random == null ? new java.util.Random() : random,
-                    timings,
-                    new Mailbox(timers));
-        }
     }
 }
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionDistribution.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionDistribution.java
@@ -1,13 +1,9 @@
 package dev.zinniaring.distribution;
 
-import dev.zinniaring.kernel.Clock;
-import dev.zinniaring.kernel.Scheduler;
-import dev.zinniaring.membership.Membership;
 import dev.zinniaring.model.Version;
 import dev.zinniaring.publish.VersionSource;
 import dev.zinniaring.transport.Message;
 import dev.zinniaring.transport.MessageCodec;
-import dev.zinniaring.transport.Network;
 import dev.zinniaring.transport.Peer;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -15,7 +11,6 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -132,29 +127,16 @@
     }
 
     /** Collects the parts of a {@link VersionDistribution}. */
-    public static final class Builder {
-        private @Nullable Network network;
-        private @Nullable Membership membership;
+    public static final class Builder extends DistributionBuilder<Builder> {
         private @Nullable VersionSource source;
         private List<InetSocketAddress> seeds = List.of();
         private boolean ownSeed;
-        private Clock clock = Clock.system();
-        private @Nullable Scheduler scheduler;
         private @Nullable Executor platformExecutor;
-        private @Nullable RandomGenerator random;
-        private Timings timings = Timings.standard();
 
         private Builder() {}
 
-        /** Sets the network, whose messages are registered by {@link #build()}. */
-        public Builder network(Network value) {
-            network = value;
-            return this;
-        }
-
-        /** Sets where live peers, gateways and the reader come from. */
-        public Builder membership(Membership value) {
-            membership = value;
+        @Override
+        Builder self() {
             return this;
         }
 
@@ -179,36 +161,12 @@
             return this;
         }
 
-        /** Sets the clock, by default the VM's. */
-        public Builder clock(Clock value) {
-            clock = value;
-            return this;
-        }
-
-        /** Sets what runs timers and handlers. */
-        public Builder scheduler(Scheduler value) {
-            scheduler = value;
-            return this;
-        }
-
         /** Sets what runs reads and writes of the platform, which block. */
         public Builder platformExecutor(Executor value) {
             platformExecutor = value;
             return this;
         }
 
-        /** Sets the source of jitter and random choices. */
-        public Builder random(RandomGenerator value) {
-            random = value;
-            return this;
-        }
-
-        /** Sets how often the node does what. */
-        public Builder timings(Timings value) {
-            timings = value;
-            return this;
-        }
-
         /**
          * Returns the distribution and registers its messages with the network.
          *
@@ -218,17 +176,5 @@
         public VersionDistribution build() {
             return new VersionDistribution(this);
         }
-
-        private Context context() {
-            Scheduler timers = Objects.requireNonNull(scheduler, "scheduler");
-            return new Context(
-                    Objects.requireNonNull(network, "network"),
-                    Objects.requireNonNull(membership, "membership"),
-                    clock,
-                    timers,
-                    random == null ? new java.util.Random() : random,
-                    timings,
-                    new Mailbox(timers));
-        }
     }
 }
