--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -42,9 +42,9 @@
     private final long deadlineNanos;
     private final long targetNanos;
     private final Set<String> tried = new HashSet<>();
-    private @Nullable Future<?> timer;
     private final Set<Attempt> running = new HashSet<>();
-    private @Nullable EndpointRecord server;
+    private @Nullable Future<?> timer;
+    private @Nullable EndpointRecord lastServer;
     private int placements;
     private int attempts;
     private boolean mayHaveRun;
@@ -88,7 +88,7 @@
         }
         placements++;
         tried.add(chosen.serverId());
-        server = chosen;
+        lastServer = chosen;
         new Attempt(chosen).start();
     }
 
@@ -254,7 +254,7 @@
     }
 
     private void log(String decision, String reason) {
-        EndpointRecord used = server;
+        EndpointRecord used = lastServer;
         calls.log()
                 .decided(
                         decision,
