Say once what the sidecar and its neighbours said twice

Cause: a last read of the change. Compression stood in distribution and in sidecar; the wrapper of failed futures was taken off in two classes; the headers of one connection were listed in calls and in node; the path of a probe stood in two modules; a check of the version stood twice in a row. The server list was built anew for each removed node of a page. Each request worked out whether its client is on the same VM, for a log field that decides nothing (left from a way not taken, decision 0011). Ruled out: one back-off for kernel, transport and store: they differ in jitter and in step, so that merging them changes delays. Change: kernel Gzip, store Failures, HopHeaders.ofConnection, PeerSender.ALIVE_PATH; ServerDirectory builds its list once a page; OwnRecord taken out of Sidecar; the log field from_vm is gone. Tests of calls, sidecar, platform and kernel, CallPathTest and CodecsTest pass; the one assertion-free edit in tests follows the shorter signatures.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -270,8 +270,6 @@
                         placements,
                         "rank",
                         route.rankOrder(),
-                        "from_vm",
-                        exchange.fromThisVm(),
                         "target_ms",
                         route.targetMillis(),
                         "version",
--- a/calls/src/main/java/dev/zinniaring/calls/Exchange.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Exchange.java
@@ -16,7 +16,6 @@
     private final HttpHeaders headers;
     private final byte[] body;
     private final long arrivedNanos;
-    private final boolean fromThisVm;
     private final Consumer<Answer> answers;
     private final List<Runnable> cancellations = new ArrayList<>(1);
     private boolean answered;
@@ -26,7 +25,6 @@
      * Creates an exchange.
      *
      * @param arrivedNanos reading of the clock when the head of the request had been read
-     * @param fromThisVm whether the other side is a process of this VM
      * @param answers takes the answer, once
      */
     public Exchange(
@@ -35,14 +33,12 @@
             HttpHeaders headers,
             byte[] body,
             long arrivedNanos,
-            boolean fromThisVm,
             Consumer<Answer> answers) {
         this.method = method;
         this.target = target;
         this.headers = headers;
         this.body = body;
         this.arrivedNanos = arrivedNanos;
-        this.fromThisVm = fromThisVm;
         this.answers = answers;
     }
 
@@ -88,11 +84,6 @@
         return arrivedNanos;
     }
 
-    /** Returns whether the other side is a process of this VM. */
-    public boolean fromThisVm() {
-        return fromThisVm;
-    }
-
     /** Sends the answer; does nothing if there is one already or the other side has left. */
     public void answer(Answer answer) {
         if (answered || cancelled) {
--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 
 /** Headers between nodes, and which headers are passed on. */
-final class HopHeaders {
+public final class HopHeaders {
     /** Id of the backend server that the entry node chose. */
     static final String OWNER_HOP = "Zinniaring-Owner-Hop";
 
@@ -30,6 +30,7 @@
     /** {@link ServerLoad} of the backend server. */
     static final String LOAD = "Zinniaring-Load";
 
+    /** Headers of one connection (RFC 9110, section 7.6.1) and those that are written anew. */
     private static final Set<String> CONNECTION_HEADERS =
             Set.of(
                     "connection",
@@ -62,6 +63,11 @@
         return name.toLowerCase(Locale.ROOT);
     }
 
+    /** Returns whether a header, in lower case, concerns one connection only. */
+    public static boolean ofConnection(String name) {
+        return CONNECTION_HEADERS.contains(name);
+    }
+
     /** Copies the headers that do not concern one connection and are not for nodes only. */
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         copy(from, to, false);
@@ -77,7 +83,7 @@
         from.forEach(
                 header -> {
                     String name = lowerCase(header.getKey());
-                    if (!CONNECTION_HEADERS.contains(name)
+                    if (!ofConnection(name)
                             && (hopHeaders || !HOP_HEADERS.contains(name))
                             && !names(named, name)) {
                         to.add(header.getKey(), header.getValue());
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -19,6 +19,9 @@
  * may be repeated are given up.
  */
 public final class PeerSender {
+    /** Path at which a node answers probes. */
+    public static final String ALIVE_PATH = "/alive";
+
     /**
      * A new connection to a node of another zone takes some 10 ms; a lost packet costs a second.
      */
@@ -55,7 +58,7 @@
     private static Outbound probe(HttpHeaders headers) {
         return new Outbound(
                 "GET",
-                "/alive",
+                ALIVE_PATH,
                 headers,
                 new byte[0],
                 PROBE_TIMEOUT_MILLIS,
--- a/calls/src/main/java/dev/zinniaring/calls/ServerConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerConnection.java
@@ -22,7 +22,6 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.jspecify.annotations.Nullable;
@@ -198,25 +197,11 @@
                         request.headers(),
                         bytes,
                         headNanos,
-                        fromThisVm(),
                         answer -> answered(answer, keepAlive, request.method().name()));
         exchange = begun;
         listener.handler().handle(begun);
     }
 
-    private boolean fromThisVm() {
-        ChannelHandlerContext open = context;
-        if (open == null) {
-            return false;
-        }
-        InetSocketAddress remote = (InetSocketAddress) open.channel().remoteAddress();
-        InetSocketAddress local = (InetSocketAddress) open.channel().localAddress();
-        return remote != null
-                && local != null
-                && (remote.getAddress().equals(local.getAddress())
-                        || remote.getAddress().isLoopbackAddress());
-    }
-
     private void answered(Answer answer, boolean keepAlive, String method) {
         exchange = null;
         idleSinceNanos = listener.clock().nanos();
--- a/calls/src/test/java/dev/zinniaring/calls/PeerSenderTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/PeerSenderTest.java
@@ -39,7 +39,6 @@
                         new DefaultHttpHeaders(),
                         new byte[0],
                         clock.nanos(),
-                        false,
                         answer -> {});
         CompletableFuture<OwnerResult> result = new CompletableFuture<>();
         long deadlineNanos = clock.nanos() + TimeUnit.SECONDS.toNanos(1);
--- a/distribution/src/main/java/dev/zinniaring/distribution/EndpointBlock.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/EndpointBlock.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.distribution;
 
+import dev.zinniaring.kernel.Gzip;
 import dev.zinniaring.model.EndpointRecord;
 import dev.zinniaring.model.EndpointState;
 import java.io.IOException;
@@ -34,7 +35,7 @@
     }
 
     static List<EndpointRecord> unpack(byte[] packed) throws DistributionException {
-        byte[] bytes = Gzip.unpack(packed, MAX_UNPACKED_BYTES);
+        byte[] bytes = Unpacking.unpack(packed, MAX_UNPACKED_BYTES);
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
             int count = Wire.checked(in.unpackArrayHeader(), MAX_RECORDS, "list");
             List<EndpointRecord> records = new ArrayList<>();
--- a/distribution/src/main/java/dev/zinniaring/distribution/VersionSpread.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/VersionSpread.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.distribution;
 
+import dev.zinniaring.kernel.Gzip;
 import dev.zinniaring.kernel.TokenBucket;
 import dev.zinniaring.model.ModelException;
 import dev.zinniaring.model.TablesCodec;
@@ -93,7 +94,7 @@
             return;
         }
         try {
-            byte[] bytes = Gzip.unpack(message.packedBody(), TablesCodec.MAX_BODY_BYTES);
+            byte[] bytes = Unpacking.unpack(message.packedBody(), TablesCodec.MAX_BODY_BYTES);
             take(from, message.number(), message.hash(), bytes, null, new TreeSet<>());
         } catch (DistributionException e) {
             log.warn("body from {} is refused: {}", from.nodeId(), e.getMessage());
@@ -158,7 +159,7 @@
 
     private boolean applied(Peer from, VersionPush push, HeldVersion base) {
         try {
-            byte[] bytes = Gzip.unpack(push.delta(), TablesCodec.MAX_BODY_BYTES);
+            byte[] bytes = Unpacking.unpack(push.delta(), TablesCodec.MAX_BODY_BYTES);
             byte[] target = TablesDelta.apply(base.version().tables(), bytes, push.hash());
             Delta received =
                     new Delta(push.number(), push.baseNumber(), push.baseHash(), push.delta());
--- a/distribution/src/test/java/dev/zinniaring/distribution/CodecsTest.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/CodecsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dev.zinniaring.kernel.Gzip;
 import dev.zinniaring.model.EndpointState;
 import dev.zinniaring.transport.Message;
 import dev.zinniaring.transport.MessageCodec;
@@ -84,7 +85,7 @@
     @Test
     void unpackedSizeIsLimited() {
         byte[] packed = Gzip.pack(new byte[100_000]);
-        assertThatThrownBy(() -> Gzip.unpack(packed, 99_999))
+        assertThatThrownBy(() -> Unpacking.unpack(packed, 99_999))
                 .isInstanceOf(DistributionException.class);
     }
 
--- a/distribution/src/main/java/dev/zinniaring/distribution/Gzip.java
+++ b/kernel/src/main/java/dev/zinniaring/kernel/Gzip.java
@@ -1,4 +1,4 @@
-package dev.zinniaring.distribution;
+package dev.zinniaring.kernel;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -8,10 +8,11 @@
 import java.util.zip.GZIPOutputStream;
 
 /** Compression with a limit on the size of what is unpacked. */
-final class Gzip {
+public final class Gzip {
     private Gzip() {}
 
-    static byte[] pack(byte[] bytes) {
+    /** Returns the bytes compressed. */
+    public static byte[] pack(byte[] bytes) {
         ByteArrayOutputStream packed = new ByteArrayOutputStream(bytes.length / 4 + 64);
         try (GZIPOutputStream out = new GZIPOutputStream(packed)) {
             out.write(bytes);
@@ -21,15 +22,20 @@
         return packed.toByteArray();
     }
 
-    static byte[] unpack(byte[] packed, int maxBytes) throws DistributionException {
+    /**
+     * Returns the bytes that were compressed.
+     *
+     * @throws KernelException if they are malformed or more than {@code maxBytes}
+     */
+    public static byte[] unpack(byte[] packed, int maxBytes) throws KernelException {
         try (GZIPInputStream in = new GZIPInputStream(new ByteArrayInputStream(packed))) {
             byte[] bytes = in.readNBytes(maxBytes + 1);
             if (bytes.length > maxBytes) {
-                throw new DistributionException("unpacked size is above " + maxBytes + " bytes");
+                throw new KernelException("unpacked size is above " + maxBytes + " bytes");
             }
             return bytes;
         } catch (IOException e) {
-            throw new DistributionException("compressed bytes are malformed", e);
+            throw new KernelException("compressed bytes are malformed", e);
         }
     }
 }
--- a/node/src/main/java/dev/zinniaring/node/CallHeaders.java
+++ b/node/src/main/java/dev/zinniaring/node/CallHeaders.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.node;
 
+import dev.zinniaring.calls.HopHeaders;
 import java.util.Locale;
 import java.util.Set;
 
@@ -21,20 +22,9 @@
     /** Carries {@code Retry-After} past OkHttp, which would send a 503 with the value 0 again. */
     static final String HELD_RETRY_AFTER = "Zinniaring-Held-Retry-After";
 
-    /** Headers of one connection (RFC 9110, section 7.6.1) and those that are written anew. */
-    private static final Set<String> NOT_FORWARDED =
+    /** Headers that the call path writes anew. */
+    private static final Set<String> WRITTEN_ANEW =
             Set.of(
-                    "connection",
-                    "keep-alive",
-                    "proxy-connection",
-                    "proxy-authenticate",
-                    "proxy-authorization",
-                    "te",
-                    "trailer",
-                    "transfer-encoding",
-                    "upgrade",
-                    "expect",
-                    "content-length",
                     "zinniaring-rank",
                     "zinniaring-deadline-ms",
                     "zinniaring-depth",
@@ -51,6 +41,7 @@
 
     /** Returns whether a header is passed on as it came. */
     static boolean forwarded(String name) {
-        return !NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT));
+        String lowerCase = name.toLowerCase(Locale.ROOT);
+        return !HopHeaders.ofConnection(lowerCase) && !WRITTEN_ANEW.contains(lowerCase);
     }
 }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/RecordWriter.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/RecordWriter.java
@@ -4,11 +4,11 @@
 import dev.zinniaring.kernel.Scheduler;
 import dev.zinniaring.model.EndpointRecord;
 import dev.zinniaring.model.EndpointState;
+import dev.zinniaring.store.Failures;
 import dev.zinniaring.store.RowConflictException;
 import dev.zinniaring.store.RowStore;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -86,10 +86,7 @@
             next();
             return;
         }
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null
-                        ? failure.getCause()
-                        : failure;
+        Throwable cause = Failures.cause(failure);
         if (cause instanceof RowConflictException conflict) {
             revision = conflict.revision();
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
@@ -27,19 +27,26 @@
 
     /** Takes records that nodes told of themselves. */
     void merge(Collection<EndpointRecord> records) {
-        boolean changed = false;
-        for (EndpointRecord record : records) {
-            changed |= mergeOne(record);
-        }
-        if (changed) {
+        if (mergeAll(records)) {
             publish();
         }
     }
 
-    /** Takes records that stand in the table as of a revision. */
-    void mergeStored(Collection<EndpointRecord> records, long tableRevision) {
+    /**
+     * Takes changes of the table as of a revision.
+     *
+     * @param records records of rows that were written
+     * @param gone nodes whose row was deleted
+     */
+    void mergeStored(
+            Collection<EndpointRecord> records, Collection<String> gone, long tableRevision) {
+        stored.removeAll(gone);
+        boolean changed = byNode.keySet().removeAll(gone);
         records.forEach(record -> stored.add(record.nodeId()));
-        merge(records);
+        changed |= mergeAll(records);
+        if (changed) {
+            publish();
+        }
         revision = Math.max(revision, tableRevision);
     }
 
@@ -48,12 +55,17 @@
         if (tableRevision < revision) {
             return;
         }
-        Set<String> present = new HashSet<>();
-        records.forEach(record -> present.add(record.nodeId()));
         Set<String> gone = new HashSet<>(stored);
-        gone.removeAll(present);
-        gone.forEach(this::remove);
-        mergeStored(records, tableRevision);
+        records.forEach(record -> gone.remove(record.nodeId()));
+        mergeStored(records, gone, tableRevision);
+    }
+
+    private boolean mergeAll(Collection<EndpointRecord> records) {
+        boolean changed = false;
+        for (EndpointRecord record : records) {
+            changed |= mergeOne(record);
+        }
+        return changed;
     }
 
     private boolean mergeOne(EndpointRecord record) {
@@ -65,14 +77,6 @@
         return true;
     }
 
-    /** Removes the record of a node that has left. */
-    void remove(String nodeId) {
-        stored.remove(nodeId);
-        if (byNode.remove(nodeId) != null) {
-            publish();
-        }
-    }
-
     private void publish() {
         Map<String, EndpointRecord> byAddress = new HashMap<>();
         for (EndpointRecord record : byNode.values()) {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -19,7 +19,6 @@
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.model.EndpointRecord;
-import dev.zinniaring.model.EndpointState;
 import dev.zinniaring.store.RowPage;
 import dev.zinniaring.store.RowStore;
 import io.netty.channel.EventLoop;
@@ -34,7 +33,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -101,9 +99,7 @@
     private final ServerProbe probe;
     private final Shutdown shutdown;
     private final Executor reading;
-    private long incarnation;
-    private long sequence;
-    private @Nullable EndpointRecord own;
+    private final OwnRecord own;
     private boolean listed;
     private long sweeps;
     private long startNanos;
@@ -175,7 +171,14 @@
         versions.onChange(() -> scheduler.execute(this::versionChanged));
         this.probe = new ServerProbe(sender, names, settings.server());
         this.shutdown = new Shutdown(settings, clock, scheduler, this::inFlight);
-        this.incarnation = clock.now().toEpochMilli();
+        this.own =
+                new OwnRecord(
+                        settings,
+                        clock,
+                        server,
+                        this::serverSettings,
+                        shutdown::begun,
+                        this::published);
     }
 
     private EntryCalls entryCalls(HeaderNames names) {
@@ -300,15 +303,12 @@
         if (server.latest() != null || shutdown.begun() || versions.inForce() == null) {
             return;
         }
-        if (versions.inForce() == null) {
-            return;
-        }
         probe.ask(
                 serverSettings().healthPath(),
                 found -> {
                     if (server.probed(found.serverId(), found.slots())) {
                         log.info("found by its health check server={}", found.serverId());
-                        publish();
+                        own.publish();
                     }
                 });
     }
@@ -324,12 +324,13 @@
 
     private void nodeRows(RowPage page, boolean whole) {
         List<EndpointRecord> records = new ArrayList<>();
+        List<String> gone = new ArrayList<>();
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(settings.nodeId())) {
                 writer.seen(row.revision());
             }
             if (row.deleted()) {
-                directory.remove(row.key());
+                gone.add(row.key());
             } else {
                 records.addAll(decode(row));
             }
@@ -337,9 +338,9 @@
         if (whole) {
             directory.replaceStored(records, page.revision());
         } else {
-            directory.mergeStored(records, page.revision());
+            directory.mergeStored(records, gone, page.revision());
         }
-        records.forEach(this::checkIncarnation);
+        own.checkIncarnation(records);
         listed = true;
         if (!page.rows().isEmpty()) {
             gossip.push();
@@ -355,27 +356,18 @@
         }
     }
 
-    /** A clock that was set back must not make this life look older than an earlier one. */
-    private void checkIncarnation(EndpointRecord record) {
-        if (record.nodeId().equals(settings.nodeId()) && record.incarnation() > incarnation) {
-            incarnation = record.incarnation() + 1;
-            publish();
-        }
-    }
-
     private Digest digest() {
-        EndpointRecord record = own;
         return new Digest(
                 versions.number(),
                 directory.revision(),
                 storeFailing() ? Freshness.NEVER_MILLIS : freshness.ageMillis(),
-                record == null ? List.of() : List.of(record));
+                own.told());
     }
 
     private void fromPeer(Exchange exchange) {
         if (PeerCalls.isCall(exchange)) {
             peerCalls.handle(exchange);
-        } else if (exchange.path().equals("/alive")) {
+        } else if (exchange.path().equals(PeerSender.ALIVE_PATH)) {
             exchange.answer(Answer.of(200));
         } else {
             gossip.handle(exchange);
@@ -414,48 +406,15 @@
         if (known != null && known.leaving()) {
             owner.refuseWaiting("leaving");
         }
-        publish();
+        own.publish();
         return true;
     }
 
-    /** Makes this node's record known. */
-    private void publish() {
-        Announcement known = server.latest();
-        if (known == null && !shutdown.begun()) {
-            return;
-        }
-        EndpointRecord record = record(known);
-        own = record;
+    private void published(EndpointRecord record) {
         directory.merge(List.of(record));
         writer.write(record);
     }
 
-    private EndpointRecord record(@Nullable Announcement known) {
-        sequence++;
-        return new EndpointRecord(
-                known == null ? "" : known.serverId(),
-                settings.service(),
-                settings.nodeId(),
-                settings.zone(),
-                peerAddress(),
-                incarnation,
-                sequence,
-                known == null ? 1 : known.slots(),
-                serverSettings().maxConnections(),
-                state(known),
-                known == null ? 0 : (int) known.coldMillis());
-    }
-
-    private EndpointState state(@Nullable Announcement known) {
-        if (shutdown.begun() || known == null) {
-            return EndpointState.GONE;
-        }
-        if (known.leaving()) {
-            return EndpointState.DRAINING;
-        }
-        return known.coldMillis() > 0 ? EndpointState.WARMING : EndpointState.READY;
-    }
-
     /** Returns whether clients may send calls here. */
     public boolean ready() {
         boolean listedOrLate = listed || clock.since(startNanos).compareTo(FIRST_LIST) > 0;
@@ -473,7 +432,7 @@
                     callListener.drain();
                     peerListener.drain();
                     shutdown.begin(() -> owner.refuse("node-leaving"), entry::leave, then);
-                    publish();
+                    own.publish();
                 });
     }
 
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/TableFollower.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/TableFollower.java
@@ -3,11 +3,11 @@
 import dev.zinniaring.kernel.BackOff;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.Scheduler;
+import dev.zinniaring.store.Failures;
 import dev.zinniaring.store.HistoryLostException;
 import dev.zinniaring.store.RowPage;
 import dev.zinniaring.store.RowStore;
 import java.time.Duration;
-import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -138,10 +138,7 @@
     }
 
     private void failed(int asked, @Nullable Throwable thrown) {
-        Throwable cause =
-                thrown instanceof CompletionException && thrown.getCause() != null
-                        ? thrown.getCause()
-                        : thrown;
+        Throwable cause = Failures.cause(thrown);
         if (cause instanceof HistoryLostException) {
             log.info("store dropped its history table={} revision={}", table, revision);
             revision = -1;
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/ServerDirectoryTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/ServerDirectoryTest.java
@@ -38,7 +38,7 @@
     /** A node that left while nobody read the feed must not stay in the list. */
     @Test
     void aWholeTableDropsNodesThatNoLongerStandThere() {
-        directory.mergeStored(List.of(record("n1", "i1", "10.0.0.1:1", 1, 1)), 5);
+        directory.mergeStored(List.of(record("n1", "i1", "10.0.0.1:1", 1, 1)), List.of(), 5);
         directory.merge(List.of(record("n2", "i2", "10.0.0.2:1", 1, 1)));
         directory.replaceStored(List.of(record("n3", "i3", "10.0.0.3:1", 1, 1)), 7);
         assertThat(servers()).containsExactly("i2", "i3");
