Keep the platform's words in platform/, and the soak on its clock

Cause: a last read of the change. The soak and the workload of the class archive wrote headers, paths and heartbeats of the platform by hand, beside the node that reads them; the proxy of the soak read the machine's clock past the one passed in; a run noted two values that nobody reads. The operator's documents in the soak and the rows of RowStoreServer stay where they are: they are data of the users' stand-ins. Change: BackendServerProtocol writes what Heartbeats reads; PlatformHeaders is public; LoopbackProxy takes a Clock; PromisesTest says its two repeated fixtures once, with all assertions kept.

--- a/soak/src/main/java/dev/zinniaring/soak/Callers.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Callers.java
@@ -1,6 +1,8 @@
 package dev.zinniaring.soak;
 
 import dev.zinniaring.calls.Addresses;
+import dev.zinniaring.calls.HeaderNames;
+import dev.zinniaring.platform.PlatformHeaders;
 import dev.zinniaring.soak.Observations.Outcome;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -37,6 +39,7 @@
     /** A caller goes on reading for a moment after its deadline. */
     private static final long READS_ON_MILLIS = 100;
 
+    private static final HeaderNames NAMES = PlatformHeaders.names();
     private static final int MAX_CALLS = 2_000;
 
     private final List<InetSocketAddress> nodes;
@@ -106,8 +109,8 @@
                                                 route.prefix(),
                                                 id))
                         .header("Host", Route.HOST)
-                        .header("X-Attempt-Id", id)
-                        .header("X-Deadline-Ms", Integer.toString(Route.DEADLINE_MILLIS))
+                        .header(NAMES.callId(), id)
+                        .header(NAMES.deadlineMillis(), Integer.toString(Route.DEADLINE_MILLIS))
                         .method(
                                 route.idempotent() ? "GET" : "POST",
                                 route.idempotent() ? null : RequestBody.create(new byte[0]))
--- a/soak/src/main/java/dev/zinniaring/soak/Fleet.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Fleet.java
@@ -3,6 +3,7 @@
 import dev.zinniaring.calls.Addresses;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.platform.BackendServerProtocol;
 import dev.zinniaring.standins.RowStoreServer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -109,10 +110,10 @@
         String zone = "zone-" + index / Operator.SERVICES.size() % ZONES;
         ObservedServer server =
                 new ObservedServer(index, zone, serverLoop, client, clock, observations, random);
-        LoopbackProxy toServer = LoopbackProxy.start(proxyLoop, server.address());
-        LoopbackProxy toStore = LoopbackProxy.start(proxyLoop, store.address());
+        LoopbackProxy toServer = LoopbackProxy.start(proxyLoop, clock, server.address());
+        LoopbackProxy toStore = LoopbackProxy.start(proxyLoop, clock, store.address());
         List<InetSocketAddress> ports = ports(seed, index);
-        LoopbackProxy toNode = LoopbackProxy.start(proxyLoop, ports.get(1));
+        LoopbackProxy toNode = LoopbackProxy.start(proxyLoop, clock, ports.get(1));
         String settings =
                 """
                 {"nodeId":"node-%d","zone":"%s","service":"%s","server":"%s","calls":"%s",
@@ -174,8 +175,10 @@
         Request request =
                 new Request.Builder()
                         .url(
-                                "http://%s/zinniaring/ready"
-                                        .formatted(Addresses.text(members.get(index).readiness())))
+                                "http://%s%s"
+                                        .formatted(
+                                                Addresses.text(members.get(index).readiness()),
+                                                BackendServerProtocol.READY_PATH))
                         .build();
         try (Response response = client.newCall(request).execute()) {
             return response.code() == 200;
--- a/soak/src/main/java/dev/zinniaring/soak/LoopbackProxy.java
+++ b/soak/src/main/java/dev/zinniaring/soak/LoopbackProxy.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.soak;
 
+import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -42,14 +43,17 @@
     }
 
     private final EventLoopGroup loop;
+    private final Clock clock;
     private final InetSocketAddress target;
     private final Channel listening;
     private final Set<Direction> directions = new HashSet<>();
     private Mode mode = Mode.PASS;
     private long delayNanos;
 
-    private LoopbackProxy(EventLoopGroup loop, InetSocketAddress target) throws KernelException {
+    private LoopbackProxy(EventLoopGroup loop, Clock clock, InetSocketAddress target)
+            throws KernelException {
         this.loop = loop;
+        this.clock = clock;
         this.target = target;
         ChannelFuture bound =
                 new ServerBootstrap()
@@ -70,9 +74,9 @@
      *
      * @throws KernelException if there is none
      */
-    static LoopbackProxy start(EventLoopGroup loop, InetSocketAddress target)
+    static LoopbackProxy start(EventLoopGroup loop, Clock clock, InetSocketAddress target)
             throws KernelException {
-        return new LoopbackProxy(loop, target);
+        return new LoopbackProxy(loop, clock, target);
     }
 
     InetSocketAddress address() {
@@ -160,7 +164,7 @@
         }
 
         private void hold(@Nullable ByteBuf bytes) {
-            held.add(new Piece(bytes, System.nanoTime() + delayNanos));
+            held.add(new Piece(bytes, clock.nanos() + delayNanos));
             if (delayNanos > 0) {
                 loop.schedule(this::pump, delayNanos, TimeUnit.NANOSECONDS);
             }
@@ -171,7 +175,7 @@
             Channel other = to;
             while (other != null && open(toTarget)) {
                 Piece next = held.peek();
-                if (next == null || next.dueNanos - System.nanoTime() > 0) {
+                if (next == null || next.dueNanos - clock.nanos() > 0) {
                     return;
                 }
                 held.remove();
--- a/soak/src/main/java/dev/zinniaring/soak/Observations.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Observations.java
@@ -43,16 +43,13 @@
     /** A run at a backend server: it began to work on a request. */
     static final class Run {
         private final String callId;
-        private final int server;
         private final String serverId;
         private final String service;
         private final long startMillis;
         private volatile long endMillis = Long.MAX_VALUE;
-        private volatile boolean cutShort;
 
-        Run(String callId, int server, String serverId, String service, long startMillis) {
+        Run(String callId, String serverId, String service, long startMillis) {
             this.callId = callId;
-            this.server = server;
             this.serverId = serverId;
             this.service = service;
             this.startMillis = startMillis;
@@ -62,11 +59,6 @@
             return callId;
         }
 
-        /** Returns the index of the node beside the server. */
-        int server() {
-            return server;
-        }
-
         String serverId() {
             return serverId;
         }
@@ -84,14 +76,8 @@
             return endMillis;
         }
 
-        /** Returns whether the server or its caller broke the run off. */
-        boolean cutShort() {
-            return cutShort;
-        }
-
-        void end(long atMillis, boolean early) {
+        void end(long atMillis) {
             endMillis = atMillis;
-            cutShort = early;
         }
     }
 
--- a/soak/src/main/java/dev/zinniaring/soak/ObservedServer.java
+++ b/soak/src/main/java/dev/zinniaring/soak/ObservedServer.java
@@ -4,9 +4,13 @@
 import dev.zinniaring.calls.Answer;
 import dev.zinniaring.calls.ClientLimits;
 import dev.zinniaring.calls.Exchange;
+import dev.zinniaring.calls.HeaderNames;
 import dev.zinniaring.calls.HttpListener;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
+import dev.zinniaring.platform.BackendServerProtocol;
+import dev.zinniaring.platform.PlatformHeaders;
+import dev.zinniaring.sidecar.Announcement;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -37,6 +41,7 @@
         SILENT
     }
 
+    private static final HeaderNames NAMES = PlatformHeaders.names();
     private static final int SLOTS = 8;
 
     /** Requests beyond the slots that are taken before the server is full. */
@@ -102,7 +107,7 @@
 
     /** Begins to announce itself to a node; requests come through a proxy. */
     void announce(LoopbackProxy before, InetSocketAddress announcements) {
-        announceUrl = "http://%s/zinniaring/instances/".formatted(Addresses.text(announcements));
+        announceUrl = "http://%s".formatted(Addresses.text(announcements));
         loop.execute(
                 () -> {
                     proxy = before;
@@ -118,7 +123,7 @@
                 () -> {
                     fault = next;
                     if (next == Fault.NONE) {
-                        Set.copyOf(working).stream().filter(work -> work.stuck).forEach(Work::drop);
+                        Set.copyOf(working).stream().filter(work -> work.stuck).forEach(Work::end);
                     }
                 });
     }
@@ -159,7 +164,7 @@
 
     private void goDown() {
         down = true;
-        Set.copyOf(working).forEach(Work::drop);
+        Set.copyOf(working).forEach(Work::end);
         mode(LoopbackProxy.Mode.RESET);
     }
 
@@ -180,25 +185,18 @@
             return;
         }
         sequence++;
-        String body =
-                """
-                {"address":"%s","born":%d,"info":{"service":"%s","version":"v1",
-                "zone":"%s","slots":%d},"status":{"state":"%s","sequence":%d,
-                "cold_remaining_ms":0}}"""
-                        .formatted(
-                                Addresses.text(before.address()),
-                                bornMillis,
-                                service,
-                                zone,
-                                SLOTS,
-                                leaving ? "draining" : "ready",
-                                sequence);
+        Announcement announcement =
+                new Announcement(
+                        id(), bornMillis, sequence, service, before.address(), SLOTS, leaving, 0);
         String id = id();
         boolean says = leaving;
-        post(id + "/heartbeat", body, () -> acknowledged(id, says));
+        post(
+                BackendServerProtocol.heartbeatPath(id),
+                BackendServerProtocol.heartbeat(announcement, zone),
+                () -> acknowledged(id, says));
     }
 
-    private void post(String path, String body, Runnable acknowledged) {
+    private void post(String path, byte[] body, Runnable acknowledged) {
         Request request =
                 new Request.Builder()
                         .url(announceUrl + path)
@@ -227,7 +225,10 @@
         if (down || !id.equals(id())) {
             return;
         }
-        post(id + "/deregister", "{\"born\":%d}".formatted(bornMillis), () -> {});
+        post(
+                BackendServerProtocol.withdrawalPath(id),
+                BackendServerProtocol.withdrawal(bornMillis),
+                () -> {});
         goDown();
         loop.schedule(this::restart, RESTART_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -235,11 +236,11 @@
     private void handle(Exchange exchange) {
         if (exchange.path().equals("/health")) {
             Answer answer = Answer.of(leaving ? 503 : 200);
-            answer.headers().set("X-Instance-Id", id());
+            answer.headers().set(NAMES.serverId(), id());
             exchange.answer(answer);
             return;
         }
-        String expected = exchange.headers().get("X-Expect-Instance", id());
+        String expected = exchange.headers().get(NAMES.expectedServer(), id());
         if (!expected.equals(id())) {
             exchange.answer(notExecuted(421));
         } else if (working.size() >= SLOTS + QUEUE) {
@@ -251,7 +252,7 @@
 
     private static Answer notExecuted(int status) {
         Answer answer = Answer.of(status);
-        answer.headers().set("X-Not-Executed", "1");
+        answer.headers().set(NAMES.notExecuted(), "1");
         return answer;
     }
 
@@ -266,8 +267,7 @@
             this.exchange = exchange;
             this.run =
                     new Observations.Run(
-                            exchange.headers().get("X-Attempt-Id", ""),
-                            index,
+                            exchange.headers().get(NAMES.callId(), ""),
                             id(),
                             service,
                             observations.nowMillis());
@@ -278,10 +278,10 @@
         void begin() {
             working.add(this);
             observations.add(run);
-            if (!exchange.headers().contains("X-Deadline-Ms")) {
+            if (!exchange.headers().contains(NAMES.deadlineMillis())) {
                 observations.finding("DEADLINE: " + run.callId() + " came without a deadline");
             }
-            exchange.onCancel(() -> end(true));
+            exchange.onCancel(this::end);
             if (!stuck) {
                 Route route = Route.of(exchange.path());
                 int millis = random.nextInt(route.leastWorkMillis(), route.mostWorkMillis() + 1);
@@ -296,22 +296,18 @@
             if (!working.contains(this)) {
                 return;
             }
-            end(false);
+            end();
             Answer answer =
                     Answer.bytes(fails ? 500 : 200, run.callId().getBytes(StandardCharsets.UTF_8));
-            answer.headers().set("X-Attempt-Id", run.callId());
-            answer.headers().set("X-Instance-Id", run.serverId());
+            answer.headers().set(NAMES.callId(), run.callId());
+            answer.headers().set(NAMES.serverId(), run.serverId());
             exchange.answer(answer);
         }
 
-        /** Ends without an answer; the proxy before the server resets the connection. */
-        void drop() {
-            end(true);
-        }
-
-        private void end(boolean early) {
+        /** Ends the work; without an answer, the proxy before the server resets the connection. */
+        private void end() {
             if (working.remove(this)) {
-                run.end(observations.nowMillis(), early);
+                run.end(observations.nowMillis());
             }
         }
     }
--- a/soak/src/main/java/dev/zinniaring/soak/Soak.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Soak.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * One run: starts nodes, injects the faults of a seed under load, and checks the promises.
@@ -92,10 +93,10 @@
     private static void schedule(
             FaultPlan.Entry entry, Fleet fleet, Observations seen, ScheduledExecutorService timer) {
         Fault fault = entry.fault();
-        long[] beganMillis = new long[1];
+        AtomicLong beganMillis = new AtomicLong();
         timer.schedule(
                 () -> {
-                    beganMillis[0] = seen.nowMillis();
+                    beganMillis.set(seen.nowMillis());
                     fault.begin().accept(fleet, entry.target());
                 },
                 entry.atMillis(),
@@ -108,7 +109,7 @@
                                     fault.name(),
                                     fault.planned(),
                                     fault.wide() ? Observations.ALL : entry.target(),
-                                    beganMillis[0],
+                                    beganMillis.get(),
                                     seen.nowMillis()));
                 },
                 entry.atMillis() + entry.durationMillis(),
--- a/soak/src/test/java/dev/zinniaring/soak/LoopbackProxyTest.java
+++ b/soak/src/test/java/dev/zinniaring/soak/LoopbackProxyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dev.zinniaring.kernel.Clock;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -29,7 +30,9 @@
     @BeforeEach
     void connect() throws Exception {
         target = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-        proxy = LoopbackProxy.start(loop, (InetSocketAddress) target.getLocalSocketAddress());
+        proxy =
+                LoopbackProxy.start(
+                        loop, Clock.system(), (InetSocketAddress) target.getLocalSocketAddress());
         client = new Socket(InetAddress.getLoopbackAddress(), proxy.address().getPort());
         server = target.accept();
         client.setSoTimeout(WAIT_MILLIS);
--- a/soak/src/test/java/dev/zinniaring/soak/PromisesTest.java
+++ b/soak/src/test/java/dev/zinniaring/soak/PromisesTest.java
@@ -33,7 +33,7 @@
     }
 
     private Run run(String serverId, String service, long atMillis) {
-        Run run = new Run("c", 0, serverId, service, atMillis);
+        Run run = new Run("c", serverId, service, atMillis);
         seen.add(run);
         return run;
     }
@@ -42,6 +42,20 @@
         seen.add(new Disturbance("f", planned, 0, SENT_MILLIS - 500, SENT_MILLIS + 500));
     }
 
+    private void oldServiceRunsAfterAChange(long agoMillis) {
+        seen.add(new Version(1, "orders", 0));
+        seen.add(new Version(2, "shelf", SENT_MILLIS - agoMillis));
+        call(Route.MOVING, 200, Outcome.ANSWERED);
+        run("s1", "orders", SENT_MILLIS + 1);
+    }
+
+    private void workGoesOnAfterCallersLeft(long untilMillis) {
+        for (int i = 0; i < 4; i++) {
+            call(Route.REPORT, 0, Outcome.CALLER_LEFT);
+        }
+        run("s1", "shelf", SENT_MILLIS + 1).end(SENT_MILLIS + untilMillis);
+    }
+
     private void assertBroken(String promise) {
         assertThat(Promises.broken(seen)).singleElement().asString().startsWith(promise + ": ");
     }
@@ -99,19 +113,13 @@
 
     @Test
     void aConfigurationThatIsNotInForceInTimeIsFound() {
-        seen.add(new Version(1, "orders", 0));
-        seen.add(new Version(2, "shelf", SENT_MILLIS - 2_600));
-        call(Route.MOVING, 200, Outcome.ANSWERED);
-        run("s1", "orders", SENT_MILLIS + 1);
+        oldServiceRunsAfterAChange(2_600);
         assertBroken("CONFIG");
     }
 
     @Test
     void aConfigurationMayTakeItsTime() {
-        seen.add(new Version(1, "orders", 0));
-        seen.add(new Version(2, "shelf", SENT_MILLIS - 2_400));
-        call(Route.MOVING, 200, Outcome.ANSWERED);
-        run("s1", "orders", SENT_MILLIS + 1);
+        oldServiceRunsAfterAChange(2_400);
         assertKept();
     }
 
@@ -149,19 +157,13 @@
 
     @Test
     void workForCallersThatHaveLeftIsFound() {
-        for (int i = 0; i < 4; i++) {
-            call(Route.REPORT, 0, Outcome.CALLER_LEFT);
-        }
-        run("s1", "shelf", SENT_MILLIS + 1).end(SENT_MILLIS + 800, false);
+        workGoesOnAfterCallersLeft(800);
         assertBroken("GONE");
     }
 
     @Test
     void workThatEndsSoonAfterItsCallerHasLeftIsAllowed() {
-        for (int i = 0; i < 4; i++) {
-            call(Route.REPORT, 0, Outcome.CALLER_LEFT);
-        }
-        run("s1", "shelf", SENT_MILLIS + 1).end(SENT_MILLIS + 300, true);
+        workGoesOnAfterCallersLeft(300);
         assertKept();
     }
 }
