Run pipelined requests of a connection together and answer them in order

Cause: InboundConnection handled the requests of a connection one after the other. Ruled out: handling every request at once; a client sends what stands behind a closing answer again, whatever its kind, so one that may run only once must not have been started by then. While draining, a connection closes after the last request that was started. An interim answer waits for its turn. RequestReader assembles requests.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -90,6 +90,19 @@
         new EntryCall(this, exchange, route, configuration.number()).start();
     }
 
+    /** The kind of the route decides; a request without a route is refused and does not run. */
+    @Override
+    public boolean repeatable(Exchange exchange) {
+        Configuration configuration = configurations.get();
+        CallRoute route =
+                configuration == null
+                        ? null
+                        : configuration.routes().find(exchange.host(), exchange.path());
+        return route == null
+                ? ExchangeHandler.super.repeatable(exchange)
+                : route.route().idempotent();
+    }
+
     private void refuse(Exchange exchange, String reason, String retrySeconds) {
         counters.increment("refused_" + reason.replace('-', '_'));
         Answer refusal = Answer.of(SERVICE_UNAVAILABLE);
--- a/calls/src/main/java/dev/zinniaring/calls/Exchange.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Exchange.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,6 +43,12 @@
         this.answers = answers;
     }
 
+    /** Creates the exchange of a request that was rejected before it had been read. */
+    static Exchange unread(long arrivedNanos) {
+        return new Exchange(
+                "", "", EmptyHttpHeaders.INSTANCE, new byte[0], arrivedNanos, answer -> {});
+    }
+
     /** Returns the HTTP method. */
     public String method() {
         return method;
--- a/calls/src/main/java/dev/zinniaring/calls/ExchangeHandler.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ExchangeHandler.java
@@ -8,4 +8,15 @@
      * loop; must not block.
      */
     void handle(Exchange exchange);
+
+    /**
+     * Returns whether a request may run again, so that it can run concurrently with requests before
+     * it on its connection. By default, this follows from its method.
+     */
+    default boolean repeatable(Exchange exchange) {
+        return switch (exchange.method()) {
+            case "GET", "HEAD", "OPTIONS", "TRACE" -> true;
+            default -> false;
+        };
+    }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -40,6 +40,12 @@
 
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /**
+     * Body bytes of the unanswered requests of all connections beyond which no pipelined requests
+     * are read.
+     */
+    private static final long MAX_READ_BYTES = 2L * 1024 * 1024;
+
     private final EventLoopGroup loop;
     private final Clock clock;
     private final Supplier<ClientLimits> limits;
@@ -47,6 +53,7 @@
     private final Set<InboundConnection> connections = new HashSet<>();
     private @Nullable Channel channel;
     private boolean draining;
+    private long readBytes;
 
     /**
      * Creates a listener.
@@ -108,8 +115,8 @@
     }
 
     /**
-     * Starts draining: every further response carries {@code Connection: close}, and the connection
-     * is closed after it.
+     * Starts draining: each connection is closed after its next response behind which no request is
+     * being handled; that response carries {@code Connection: close}.
      */
     public void drain() {
         draining = true;
@@ -122,7 +129,7 @@
     public int inFlight() {
         int count = 0;
         for (InboundConnection connection : connections) {
-            count += connection.busy() ? 1 : 0;
+            count += connection.inFlight();
         }
         return count;
     }
@@ -160,8 +167,25 @@
         connections.add(connection);
     }
 
-    void closed(InboundConnection connection) {
+    void closed(InboundConnection connection, long unansweredBytes) {
         connections.remove(connection);
+        addReadBytes(-unansweredBytes);
+    }
+
+    /**
+     * Adds to the body bytes of unanswered requests; lets connections read again if few are left.
+     */
+    void addReadBytes(long bytes) {
+        boolean wasFull = readAheadFull();
+        readBytes += bytes;
+        if (wasFull && !readAheadFull()) {
+            loop.execute(() -> List.copyOf(connections).forEach(InboundConnection::updateReading));
+        }
+    }
+
+    /** Returns whether connections with unanswered requests should read no more for now. */
+    boolean readAheadFull() {
+        return readBytes > MAX_READ_BYTES;
     }
 
     private void checkTimeouts() {
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -1,15 +1,12 @@
 package dev.zinniaring.calls;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
@@ -17,48 +14,34 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
- * An inbound connection of a listener. It keeps reading while a request is being handled, so that a
- * disconnect is detected immediately; pipelined requests are queued and handled in order.
+ * An inbound connection of a listener. It keeps reading while requests are being handled, so that a
+ * disconnect is detected immediately, unless so many are unanswered that the client has to wait.
+ * {@link RequestPipeline} decides which requests run and which answer is sent next.
  */
-final class InboundConnection extends ChannelInboundHandlerAdapter {
-    /**
-     * Maximum number of decoded HTTP objects of pipelined requests to buffer; beyond it, the
-     * connection is closed.
-     */
-    private static final int MAX_READ_AHEAD = 256;
-
-    private static final int BAD_REQUEST = 400;
+final class InboundConnection extends ChannelInboundHandlerAdapter
+        implements RequestReader.Listener {
     private static final int REQUEST_TIMEOUT = 408;
-    private static final int PAYLOAD_TOO_LARGE = 413;
-    private static final int EXPECTATION_FAILED = 417;
-    private static final int HEADERS_TOO_LARGE = 431;
 
     private final HttpListener listener;
-    private final Deque<HttpObject> readAhead = new ArrayDeque<>();
+    private final RequestReader reader;
+    private final RequestPipeline<Exchange, Answer> pipeline = new RequestPipeline<>();
     private @Nullable ChannelHandlerContext context;
-    private @Nullable HttpRequest head;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-    private long headReadNanos;
     private boolean headStarted;
     private long headStartedNanos;
-    private @Nullable Exchange exchange;
-    private boolean lastAnswerSent;
+    private boolean lastRequestRead;
+    private boolean continueExpected;
+    private boolean closing;
     private long idleSinceNanos;
-    private boolean reading;
-    private boolean processing;
+    private boolean advancing;
 
     InboundConnection(HttpListener listener) {
         this.listener = listener;
+        this.reader = new RequestReader(listener.clock(), listener::limits, this);
     }
 
     @Override
@@ -70,14 +53,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext closed) {
-        listener.closed(this);
-        readAhead.forEach(ReferenceCountUtil::release);
-        readAhead.clear();
-        Exchange running = exchange;
-        if (running != null) {
-            exchange = null;
-            running.cancel();
-        }
+        closing = true;
+        listener.closed(this, pipeline.bytes());
+        pipeline.cancel().forEach(Exchange::cancel);
     }
 
     @Override
@@ -87,139 +65,133 @@
 
     @Override
     public void channelRead(ChannelHandlerContext from, Object message) {
-        if (!(message instanceof HttpObject object)) {
+        try {
+            if (message instanceof HttpObject object && !lastRequestRead) {
+                reader.read(object);
+            }
+        } finally {
             ReferenceCountUtil.release(message);
-            return;
-        }
-        readAhead.add(object);
-        if (readAhead.size() > MAX_READ_AHEAD && exchange != null) {
-            from.close();
-            return;
         }
-        processBuffered();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext read) {
+        updateReading();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        updateReading();
+        advance();
     }
 
     /** Records when the head of the next request starts to arrive. */
     void bytesArrived() {
-        if (exchange == null && !reading && !headStarted) {
+        if (!reader.readingBody() && !headStarted) {
             headStarted = true;
             headStartedNanos = listener.clock().nanos();
         }
     }
 
-    /** Processes buffered HTTP objects until a request is in progress or none are left. */
-    private void processBuffered() {
-        if (processing) {
-            return;
-        }
-        processing = true;
-        try {
-            while (exchange == null && !readAhead.isEmpty()) {
-                HttpObject object = readAhead.poll();
-                try {
-                    process(object);
-                } finally {
-                    ReferenceCountUtil.release(object);
-                }
-            }
-        } finally {
-            processing = false;
-        }
+    @Override
+    public void onContinueExpected() {
+        headStarted = false;
+        continueExpected = true;
+        advance();
     }
 
-    private void process(HttpObject object) {
-        if (lastAnswerSent) {
-            return;
-        }
-        DecoderResult result = object.decoderResult();
-        if (result.isFailure()) {
-            reject(statusOf(result.cause()));
-            return;
-        }
-        if (object instanceof HttpRequest request) {
-            beginRequest(request);
-        }
-        if (head != null && object instanceof HttpContent content) {
-            appendBody(content);
-        }
+    @Override
+    public void onRequest(HttpRequest head, byte[] body, long headReadNanos) {
+        headStarted = false;
+        continueExpected = false;
+        lastRequestRead = !HttpUtil.isKeepAlive(head);
+        PendingAnswer pending = new PendingAnswer();
+        Exchange exchange =
+                new Exchange(
+                        head.method().name(),
+                        head.uri(),
+                        head.headers(),
+                        body,
+                        headReadNanos,
+                        pending);
+        pending.entry =
+                pipeline.add(
+                        exchange,
+                        listener.handler().repeatable(exchange),
+                        lastRequestRead,
+                        body.length);
+        listener.addReadBytes(body.length);
+        advance();
     }
 
-    /** Returns the status for a request that could not be decoded. */
-    private static int statusOf(Throwable cause) {
-        return cause instanceof TooLongHttpHeaderException
-                        || cause instanceof TooLongHttpLineException
-                ? HEADERS_TOO_LARGE
-                : BAD_REQUEST;
+    @Override
+    public void onRejected(int status) {
+        headStarted = false;
+        continueExpected = false;
+        lastRequestRead = true;
+        pipeline.addRejected(Exchange.unread(listener.clock().nanos()), Answer.of(status));
+        advance();
     }
 
-    private void beginRequest(HttpRequest request) {
-        head = request;
-        reading = true;
-        headStarted = false;
-        body = new ByteArrayOutputStream(0);
-        headReadNanos = listener.clock().nanos();
-        if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
-            reject(PAYLOAD_TOO_LARGE);
+    /** Starts the requests that may run and sends the answers whose turn it is. */
+    private void advance() {
+        if (advancing) {
             return;
         }
-        if (HttpUtil.is100ContinueExpected(request)) {
-            write(
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.CONTINUE,
-                            Unpooled.EMPTY_BUFFER));
-        } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
-            reject(EXPECTATION_FAILED);
+        advancing = true;
+        try {
+            boolean sent = false;
+            boolean progress = true;
+            while (progress && !closing) {
+                progress = startRequests();
+                while (sendNext()) {
+                    sent = true;
+                    progress = true;
+                }
+            }
+            if (continueExpected && pipeline.isEmpty() && !closing) {
+                continueExpected = false;
+                write(interim());
+                sent = true;
+            }
+            ChannelHandlerContext open = context;
+            if (sent && open != null) {
+                open.flush();
+                updateReading();
+            }
+        } finally {
+            advancing = false;
         }
     }
 
-    private void appendBody(HttpContent content) {
-        ByteBuf bytes = content.content();
-        if (body.size() + bytes.readableBytes() > listener.limits().maxBodyBytes()) {
-            reject(PAYLOAD_TOO_LARGE);
-            return;
-        }
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        body.write(copy, 0, copy.length);
-        HttpRequest request = head;
-        if (content instanceof LastHttpContent && request != null) {
-            head = null;
-            reading = false;
-            serve(request);
+    private boolean startRequests() {
+        boolean started = false;
+        while (writable()) {
+            RequestPipeline.Entry<Exchange, Answer> next = pipeline.start();
+            if (next == null) {
+                return started;
+            }
+            started = true;
+            listener.handler().handle(next.request());
         }
+        return started;
     }
 
-    private void serve(HttpRequest request) {
-        boolean keepAlive = HttpUtil.isKeepAlive(request);
-        byte[] bytes = body.toByteArray();
-        body = new ByteArrayOutputStream(0);
-        Exchange started =
-                new Exchange(
-                        request.method().name(),
-                        request.uri(),
-                        request.headers(),
-                        bytes,
-                        headReadNanos,
-                        answer -> answered(answer, keepAlive, request.method().name()));
-        exchange = started;
-        listener.handler().handle(started);
+    /** Returns whether the client reads its answers. */
+    private boolean writable() {
+        ChannelHandlerContext open = context;
+        return open != null && open.channel().isWritable();
     }
 
-    private void answered(Answer answer, boolean keepAlive, String method) {
-        exchange = null;
-        idleSinceNanos = listener.clock().nanos();
-        boolean close = !keepAlive || listener.draining();
-        send(answer, close, method.equals("HEAD"));
-        if (!close) {
-            processBuffered();
+    private boolean sendNext() {
+        RequestPipeline.Turn<Exchange, Answer> turn = pipeline.next(listener.draining());
+        if (turn == null) {
+            return false;
         }
-    }
-
-    private void reject(int status) {
-        head = null;
-        reading = false;
-        send(Answer.of(status), true, false);
+        listener.addReadBytes(-turn.request().body().length);
+        idleSinceNanos = listener.clock().nanos();
+        send(turn.answer(), turn.close(), turn.request().method().equals("HEAD"));
+        return true;
     }
 
     private void send(Answer answer, boolean close, boolean headOnly) {
@@ -231,27 +203,57 @@
         HopHeaders.copyAll(answer.headers(), response.headers());
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
         if (close) {
-            lastAnswerSent = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         ChannelFuture written = write(response);
-        if (close && written != null) {
-            written.addListener(ChannelFutureListener.CLOSE);
+        if (close) {
+            stopReading();
+            if (written != null) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
         }
     }
 
+    /** Drops what was read behind the last answer. The client sends those requests again. */
+    private void stopReading() {
+        closing = true;
+        lastRequestRead = true;
+        listener.addReadBytes(-pipeline.bytes());
+        pipeline.dropUnstarted();
+    }
+
+    private static FullHttpResponse interim() {
+        return new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
+    }
+
     private @Nullable ChannelFuture write(FullHttpResponse response) {
         ChannelHandlerContext open = context;
         if (open == null || !open.channel().isActive()) {
             response.release();
             return null;
         }
-        return open.writeAndFlush(response);
+        return open.write(response);
+    }
+
+    /** Stops reading while too much is unanswered, and resumes it afterwards. */
+    void updateReading() {
+        ChannelHandlerContext open = context;
+        if (open == null) {
+            return;
+        }
+        boolean wait =
+                !closing
+                        && !pipeline.isEmpty()
+                        && (pipeline.full() || listener.readAheadFull() || !writable());
+        if (open.channel().config().isAutoRead() == wait) {
+            open.channel().config().setAutoRead(!wait);
+        }
     }
 
-    /** Returns whether a request is being read or handled. */
-    boolean busy() {
-        return exchange != null || reading;
+    /** Returns the number of requests that are being read or are not yet answered. */
+    int inFlight() {
+        return pipeline.size() + (reader.readingBody() ? 1 : 0);
     }
 
     /**
@@ -260,15 +262,20 @@
      */
     void checkTimeouts(long nowNanos) {
         ChannelHandlerContext open = context;
-        if (open == null || exchange != null || lastAnswerSent) {
+        if (open == null || lastRequestRead || !open.channel().config().isAutoRead()) {
             return;
         }
         ClientLimits limits = listener.limits();
-        if (headStarted && nowNanos - headStartedNanos > nanos(limits.headerTimeoutMillis())) {
-            reject(REQUEST_TIMEOUT);
-        } else if (reading && nowNanos - headReadNanos > nanos(limits.idleTimeoutMillis())) {
-            reject(REQUEST_TIMEOUT);
-        } else if (!reading && nowNanos - idleSinceNanos > nanos(limits.idleTimeoutMillis())) {
+        if (reader.readingBody()) {
+            if (nowNanos - reader.headReadNanos() > nanos(limits.idleTimeoutMillis())) {
+                reader.reject(REQUEST_TIMEOUT);
+            }
+        } else if (headStarted) {
+            if (nowNanos - headStartedNanos > nanos(limits.headerTimeoutMillis())) {
+                reader.reject(REQUEST_TIMEOUT);
+            }
+        } else if (pipeline.isEmpty()
+                && nowNanos - idleSinceNanos > nanos(limits.idleTimeoutMillis())) {
             open.close();
         }
     }
@@ -276,4 +283,18 @@
     private static long nanos(long millis) {
         return millis * 1_000_000L;
     }
+
+    /** Passes the answer of a request on to the pipeline. */
+    private final class PendingAnswer implements Consumer<Answer> {
+        private RequestPipeline.@Nullable Entry<Exchange, Answer> entry;
+
+        @Override
+        public void accept(Answer answer) {
+            RequestPipeline.Entry<Exchange, Answer> answered = entry;
+            if (answered != null && !closing) {
+                pipeline.answered(answered, answer);
+                advance();
+            }
+        }
+    }
 }
--- /dev/null
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
@@ -0,0 +1,126 @@
+package dev.zinniaring.calls;
+
+import dev.zinniaring.kernel.Clock;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.io.ByteArrayOutputStream;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/** Assembles the decoded parts of the requests of one connection and enforces the size limits. */
+final class RequestReader {
+    private static final int BAD_REQUEST = 400;
+    private static final int PAYLOAD_TOO_LARGE = 413;
+    private static final int EXPECTATION_FAILED = 417;
+    private static final int HEADERS_TOO_LARGE = 431;
+
+    private final Clock clock;
+    private final Supplier<ClientLimits> limits;
+    private final Listener listener;
+    private @Nullable HttpRequest head;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private long headReadNanos;
+    private boolean rejected;
+
+    /** Receives what was read. */
+    interface Listener {
+        /** Called when the client waits for {@code 100 Continue} before it sends the body. */
+        void onContinueExpected();
+
+        /**
+         * Called when a request has been read in full.
+         *
+         * @param headReadNanos clock reading when its head had been read
+         */
+        void onRequest(HttpRequest head, byte[] body, long headReadNanos);
+
+        /** Called when a request cannot be accepted; nothing behind it is read. */
+        void onRejected(int status);
+    }
+
+    RequestReader(Clock clock, Supplier<ClientLimits> limits, Listener listener) {
+        this.clock = clock;
+        this.limits = limits;
+        this.listener = listener;
+    }
+
+    /** Reads the next part. */
+    void read(HttpObject part) {
+        if (rejected) {
+            return;
+        }
+        DecoderResult result = part.decoderResult();
+        if (result.isFailure()) {
+            reject(statusOf(result.cause()));
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (head != null && part instanceof HttpContent content) {
+            append(head, content);
+        }
+    }
+
+    private static int statusOf(Throwable cause) {
+        return cause instanceof TooLongHttpHeaderException
+                        || cause instanceof TooLongHttpLineException
+                ? HEADERS_TOO_LARGE
+                : BAD_REQUEST;
+    }
+
+    private void begin(HttpRequest request) {
+        head = request;
+        body = new ByteArrayOutputStream(0);
+        headReadNanos = clock.nanos();
+        if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
+            reject(PAYLOAD_TOO_LARGE);
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            listener.onContinueExpected();
+        } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
+            reject(EXPECTATION_FAILED);
+        }
+    }
+
+    private void append(HttpRequest request, HttpContent content) {
+        ByteBuf bytes = content.content();
+        if (body.size() + bytes.readableBytes() > limits.get().maxBodyBytes()) {
+            reject(PAYLOAD_TOO_LARGE);
+            return;
+        }
+        byte[] copy = new byte[bytes.readableBytes()];
+        bytes.readBytes(copy);
+        body.write(copy, 0, copy.length);
+        if (content instanceof LastHttpContent) {
+            byte[] complete = body.toByteArray();
+            head = null;
+            body = new ByteArrayOutputStream(0);
+            listener.onRequest(request, complete, headReadNanos);
+        }
+    }
+
+    /** Rejects the request that is being read, or the next one if none is. */
+    void reject(int status) {
+        head = null;
+        rejected = true;
+        listener.onRejected(status);
+    }
+
+    /** Returns whether the head of a request has been read, but not yet its whole body. */
+    boolean readingBody() {
+        return head != null;
+    }
+
+    /** Returns the clock reading when the head of the current or last request had been read. */
+    long headReadNanos() {
+        return headReadNanos;
+    }
+}
