Bound answers without end, and close connections whose answers name no request

Cause: with the deployed heap of 28 MB, three backend servers that sent a body without end filled it (one answer was allowed 32 MB); interim answers and blank lines were read until the deadline, over 200 MB on one connection. A refusal need not echo the id of its request, so that a late second copy of it on a connection that was in use again was reported as "not run" for the next request, which may have run; a second answer to a health check likewise. Ruled out: heads, header and status lines, chunk lines and trailers without end; the decoder's limits already hold there. A byte now and then ends at the deadline.

--- a/calls/src/main/java/dev/zinniaring/calls/AnswerDecoder.java
+++ b/calls/src/main/java/dev/zinniaring/calls/AnswerDecoder.java
@@ -8,7 +8,8 @@
  * Decodes HTTP responses. The response to a HEAD request has no body, whatever its Content-Length.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
-    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    /** Maximum size of the status line, of all headers and of all trailers of an answer. */
+    static final int MAX_HEAD_BYTES = 64 * 1024;
 
     private boolean headOnly;
 
--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -1,6 +1,5 @@
 package dev.zinniaring.calls;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -8,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.regex.Matcher;
@@ -27,11 +26,19 @@
  * detects bytes that do not belong to the answer of its request; a connection on which such bytes
  * arrive is not reused.
  */
-final class OutboundConnection extends ChannelInboundHandlerAdapter {
+final class OutboundConnection extends ChannelInboundHandlerAdapter
+        implements ReceiveBudget.Holder {
     /** Maximum number of answers to other requests to skip before the request fails. */
     private static final int MAX_FOREIGN_ANSWERS = 4;
 
-    private static final int MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+    /** Maximum number of interim answers, such as {@code 102 Processing}, to one request. */
+    private static final int MAX_INTERIM_ANSWERS = 8;
+
+    /**
+     * Bytes after which an answer must have begun; the decoder skips blank lines without a limit.
+     */
+    private static final long MAX_UNDECODED_BYTES = 2L * AnswerDecoder.MAX_HEAD_BYTES;
+
     private static final int FIRST_FINAL_STATUS = 200;
 
     /** Idle connections are closed this long before the server would close them. */
@@ -49,11 +56,13 @@
     private @Nullable OutboundRequest request;
     private @Nullable ResponseListener listener;
     private @Nullable HttpResponse head;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private AnswerBody body = new AnswerBody();
     private boolean broken;
     private boolean notReusable;
     private boolean readyForReuse;
     private int foreignAnswers;
+    private int interimAnswers;
+    private long undecodedBytes;
     private long idleSinceNanos;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
 
@@ -86,6 +95,8 @@
         listener = answers;
         readyForReuse = false;
         foreignAnswers = 0;
+        interimAnswers = 0;
+        undecodedBytes = 0;
         decoding.expect(sent.method());
         open.writeAndFlush(encode(sent))
                 .addListener(
@@ -125,7 +136,17 @@
         }
     }
 
+    /** Records bytes that the decoder is about to read. */
+    void bytesArrived(int bytes) {
+        undecodedBytes += bytes;
+        if (undecodedBytes > MAX_UNDECODED_BYTES) {
+            fail("malformed-answer");
+            close();
+        }
+    }
+
     private void process(HttpObject object) {
+        undecodedBytes = 0;
         if (object.decoderResult().isFailure()) {
             notReusable = true;
             fail("malformed-answer");
@@ -138,30 +159,44 @@
             close();
             return;
         }
-        if (object instanceof HttpResponse response
-                && response.status().code() >= FIRST_FINAL_STATUS) {
-            head = response;
-            body = new ByteArrayOutputStream(0);
+        if (object instanceof HttpResponse response) {
+            begin(response);
         }
         if (head != null && object instanceof HttpContent content) {
             appendBody(head, content);
         }
     }
 
+    private void begin(HttpResponse response) {
+        if (response.status().code() < FIRST_FINAL_STATUS) {
+            interimAnswers++;
+            if (interimAnswers > MAX_INTERIM_ANSWERS) {
+                fail("interim-answers");
+                close();
+            }
+            return;
+        }
+        head = response;
+        body = new AnswerBody();
+    }
+
     private void appendBody(HttpResponse response, HttpContent content) {
-        ByteBuf bytes = content.content();
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        body.write(copy, 0, copy.length);
-        if (body.size() > MAX_ANSWER_BYTES) {
-            fail("answer-too-large");
-            close();
-        } else if (content instanceof LastHttpContent) {
+        long addedBytes = body.append(content.content());
+        if (content instanceof LastHttpContent) {
             head = null;
+            client.receiveBudget().release(this);
             finishAnswer(response);
+        } else if (addedBytes > 0) {
+            client.receiveBudget().add(this, addedBytes);
         }
     }
 
+    @Override
+    public void giveUp() {
+        fail("answer-too-large");
+        close();
+    }
+
     private void finishAnswer(HttpResponse response) {
         if (broken) {
             // An answer without a length was ended by a connection reset, so it is incomplete.
@@ -179,8 +214,8 @@
         }
         Answer answer =
                 new Answer(response.status().code(), response.headers(), body.toByteArray());
-        body = new ByteArrayOutputStream(0);
-        if (!HttpUtil.isKeepAlive(response) || delimitedByClose(response)) {
+        body = new AnswerBody();
+        if (!HttpUtil.isKeepAlive(response) || delimitedByClose(response) || lacksEcho(response)) {
             notReusable = true;
         }
         readKeepAlive(response);
@@ -213,6 +248,23 @@
         return !echoed.equals(expected);
     }
 
+    /** Returns whether the request asks for a connection that serves no other one. */
+    private boolean closeRequested() {
+        OutboundRequest sent = request;
+        return sent != null
+                && sent.headers()
+                        .containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    }
+
+    /**
+     * Returns whether an answer does not name its request. A second copy of such an answer would be
+     * taken for the answer to the next request on the connection.
+     */
+    private boolean lacksEcho(HttpResponse response) {
+        OutboundRequest sent = request;
+        return sent != null && !sent.echo().isEmpty() && !response.headers().contains(sent.echo());
+    }
+
     private static boolean delimitedByClose(HttpResponse response) {
         return !HttpUtil.isTransferEncodingChunked(response)
                 && !HttpUtil.isContentLengthSet(response);
@@ -252,6 +304,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext closed) {
         client.removeIdle(this);
+        releaseBody();
         fail("connection-closed");
     }
 
@@ -290,9 +343,16 @@
 
     void close() {
         notReusable = true;
+        releaseBody();
         ChannelHandlerContext open = context;
         if (open != null) {
             open.close();
         }
     }
+
+    private void releaseBody() {
+        client.receiveBudget().release(this);
+        head = null;
+        body = new AnswerBody();
+    }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
@@ -2,8 +2,11 @@
 
 import dev.zinniaring.kernel.Clock;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -39,6 +42,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Map<InetSocketAddress, Deque<OutboundConnection>> idle = new HashMap<>();
+    private final ReceiveBudget receiveBudget = new ReceiveBudget();
 
     /** Creates a client that runs on the event loop of a group with a single thread. */
     public PooledHttpClient(EventLoopGroup group, Clock clock) {
@@ -103,6 +107,10 @@
         return clock;
     }
 
+    ReceiveBudget receiveBudget() {
+        return receiveBudget;
+    }
+
     private final class PendingRequest implements Sending, ResponseListener {
         private final InetSocketAddress address;
         private final OutboundRequest request;
@@ -244,7 +252,29 @@
         protected void initChannel(SocketChannel socket) {
             AnswerDecoder decoder = new AnswerDecoder();
             connection.decodeWith(decoder);
-            socket.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
+            socket.pipeline()
+                    .addLast(
+                            new ReceiveObserver(connection),
+                            new HttpRequestEncoder(),
+                            decoder,
+                            connection);
+        }
+    }
+
+    /** Notifies a connection of received bytes before they are decoded. */
+    private static final class ReceiveObserver extends ChannelInboundHandlerAdapter {
+        private final OutboundConnection connection;
+
+        ReceiveObserver(OutboundConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf bytes) {
+                connection.bytesArrived(bytes.readableBytes());
+            }
+            context.fireChannelRead(message);
         }
     }
 }
--- a/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
@@ -12,6 +12,7 @@
 import dev.zinniaring.model.Route;
 import dev.zinniaring.model.Tables;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -27,6 +28,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -51,8 +53,9 @@
 
     /**
      * Server that records requests and replies with raw bytes that a test provides. In these,
-     * {@code ID} stands for the id of the call; {@code RESET} resets the connection, and a reply
-     * that ends with {@code CUT} is followed by a close.
+     * {@code ID} stands for the id of the call and {@code AGAIN} for what was sent before on the
+     * connection; {@code RESET} resets the connection, and a reply that ends with {@code CUT} is
+     * followed by a close.
      */
     private static final class ScriptedServer implements AutoCloseable {
         private final ServerSocket port;
@@ -86,6 +89,7 @@
             try (socket) {
                 InputStream in = socket.getInputStream();
                 OutputStream out = socket.getOutputStream();
+                String previous = "";
                 while (true) {
                     String head = head(in);
                     if (head == null) {
@@ -103,8 +107,10 @@
                         return;
                     }
                     String id = header(head, "Zinniaring-Call-Id");
-                    out.write(answer.replace("ID", id).getBytes(StandardCharsets.ISO_8859_1));
+                    String sent = answer.replace("AGAIN", previous).replace("ID", id);
+                    out.write(sent.getBytes(StandardCharsets.ISO_8859_1));
                     out.flush();
+                    previous = sent;
                     if (answer.endsWith("CUT")) {
                         return;
                     }
@@ -297,6 +303,48 @@
         assertThat(call("GET", "/safe/x")).isEqualTo("200 second");
     }
 
+    /**
+     * A refusal need not name its request. A second copy of it that arrives while the next request
+     * runs on the connection must not be reported as the result of that request.
+     */
+    @Test
+    void aSecondCopyOfARefusalWithoutAnIdIsNotTakenForTheNextAnswer() throws Exception {
+        String refusal = "HTTP/1.1 503 Full\r\nZinniaring-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        server.answers.add(refusal);
+        assertThat(call("POST", "/once/x")).startsWith("503");
+        server.answers.add("AGAIN" + ok("own"));
+        assertThat(call("POST", "/once/y")).isEqualTo("200 own");
+    }
+
+    /** A second answer to a health check must not be reported as the result of a call. */
+    @Test
+    void noCallFollowsARequestThatAsksForACloseOnItsConnection() throws Exception {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Connection", "close");
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        server.answers.add("HTTP/1.1 503 Draining\r\nContent-Length: 0\r\n\r\n");
+        group.execute(
+                () ->
+                        client.send(
+                                (InetSocketAddress) server.port.getLocalSocketAddress(),
+                                new OutboundRequest(
+                                        "GET", "/health", headers, new byte[0], 5_000, 500, 0, ""),
+                                new ResponseListener() {
+                                    @Override
+                                    public void onResponse(Answer answer) {
+                                        status.complete(answer.status());
+                                    }
+
+                                    @Override
+                                    public void onFailure(SendFailure failure, String reason) {
+                                        status.complete(0);
+                                    }
+                                }));
+        assertThat(status.get(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(503);
+        server.answers.add("AGAIN" + ok("own"));
+        assertThat(call("POST", "/once/y")).isEqualTo("200 own");
+    }
+
     /** A late answer to an earlier request may arrive when the next answer is expected. */
     @Test
     void anAnswerWithAnotherIdIsSkipped() throws Exception {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
@@ -7,6 +7,8 @@
 import dev.zinniaring.calls.ResponseListener;
 import dev.zinniaring.calls.SendFailure;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -21,7 +23,6 @@
     private static final Logger log = LoggerFactory.getLogger("node");
     private static final int TIMEOUT_MILLIS = 1_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 250;
-    private static final int MAX_IDLE_MILLIS = 1_000;
     private static final int OK = 200;
 
     private final PooledHttpClient client;
@@ -49,15 +50,18 @@
             return;
         }
         sent = true;
+        // A late second answer to a health check names no request, so no call may follow it.
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         OutboundRequest request =
                 new OutboundRequest(
                         "GET",
                         healthPath,
-                        new DefaultHttpHeaders(),
+                        headers,
                         new byte[0],
                         TIMEOUT_MILLIS,
                         CONNECT_TIMEOUT_MILLIS,
-                        MAX_IDLE_MILLIS,
+                        0,
                         "");
         client.send(address, request, new Result(onIdentified));
     }
