Close the connection after a request that asked for it

Change: the check is made when an answer is complete. Result: MeshTest (13), Server* and Local* tests pass; that case failed before.

--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -215,7 +215,10 @@
         Answer answer =
                 new Answer(response.status().code(), response.headers(), body.toByteArray());
         body = new AnswerBody();
-        if (!HttpUtil.isKeepAlive(response) || delimitedByClose(response) || lacksEcho(response)) {
+        if (closeRequested()
+                || !HttpUtil.isKeepAlive(response)
+                || delimitedByClose(response)
+                || lacksEcho(response)) {
             notReusable = true;
         }
         readKeepAlive(response);
