Spend less on the headers of a call and on finding the zone's reader

Change: header names are classified once; headers of forwarded requests and answers are neither validated nor copied again; counters are looked up by event; no power is computed for servers without a report or failure; the nodes of a zone are sorted once a change. A node that shuts down goes on refusing calls if its backend server starts anew meanwhile (the refusal was lifted then, and the calls would be cut when the node exits). The reader's test with a failing node now tests ReaderSelection.reader, with more cases than before. MeshTest's new case fails before the change of OwnerCalls.

--- a/calls/src/main/java/dev/zinniaring/calls/Answer.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Answer.java
@@ -8,7 +8,8 @@
  * A complete HTTP response.
  *
  * @param status HTTP status
- * @param headers headers as received, or to be sent
+ * @param headers headers as received, or end-to-end headers to be sent; the listener that sends the
+ *     answer adds others, so an answer is sent once
  * @param body complete body
  */
 public record Answer(int status, HttpHeaders headers, byte[] body) {
--- a/calls/src/main/java/dev/zinniaring/calls/CallCounters.java
+++ b/calls/src/main/java/dev/zinniaring/calls/CallCounters.java
@@ -1,8 +1,11 @@
 package dev.zinniaring.calls;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Metrics of calls: event counters and latency. Safe for use by several threads. */
 public final class CallCounters {
@@ -19,6 +22,9 @@
     private final Counter events;
     private final Histogram latency;
 
+    /** Counters by event, since a look-up by label values costs more than the increment. */
+    private final Map<String, CounterDataPoint> eventCounters = new ConcurrentHashMap<>();
+
     /** Creates the metrics and registers them in a registry. */
     public CallCounters(PrometheusRegistry registry) {
         events =
@@ -44,7 +50,7 @@
 
     /** Adds one to the counter of an event. */
     public void increment(String event) {
-        events.labelValues(event).inc();
+        eventCounters.computeIfAbsent(event, events::labelValues).inc();
     }
 
     /** Records the latency of an answered call. */
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -2,7 +2,6 @@
 
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.EndpointRecord;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
 import java.util.List;
@@ -123,7 +122,7 @@
             retry("status-" + answer.status());
             return;
         }
-        HttpHeaders headers = new DefaultHttpHeaders();
+        HttpHeaders headers = HopHeaders.unvalidated();
         HopHeaders.copyEndToEnd(answer.headers(), headers);
         if (answer.status() >= SERVER_ERROR) {
             log("server-error", "status-" + answer.status());
--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -1,8 +1,13 @@
 package dev.zinniaring.calls;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Iterator;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Headers that nodes exchange with each other, and the rules for forwarding headers. */
 public final class HopHeaders {
@@ -60,8 +65,22 @@
                     lowerCase(REASON),
                     lowerCase(LOAD));
 
+    /** Names beyond this number, which callers choose, are not remembered. */
+    private static final int MAX_KNOWN_NAMES = 256;
+
+    /** Whether headers are forwarded, by name as received; most calls carry the same ones. */
+    private static final Map<String, Boolean> FORWARDED = new ConcurrentHashMap<>();
+
     private HopHeaders() {}
 
+    /**
+     * Returns empty headers for names and values that were decoded or are constants, which need no
+     * second validation.
+     */
+    static HttpHeaders unvalidated() {
+        return new DefaultHttpHeaders(false);
+    }
+
     private static String lowerCase(String name) {
         return name.toLowerCase(Locale.ROOT);
     }
@@ -73,34 +92,41 @@
 
     /** Copies the end-to-end headers, except those that only nodes may set. */
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
-        copy(from, to, false);
-    }
-
-    /** Copies the end-to-end headers, including those that only nodes may set. */
-    static void copyAll(HttpHeaders from, HttpHeaders to) {
-        copy(from, to, true);
+        String connection = from.get(HttpHeaderNames.CONNECTION);
+        String connectionOptions =
+                connection == null
+                        ? ""
+                        : String.join(",", from.getAll(HttpHeaderNames.CONNECTION))
+                                .toLowerCase(Locale.ROOT);
+        Iterator<Map.Entry<CharSequence, CharSequence>> headers = from.iteratorCharSequence();
+        while (headers.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> header = headers.next();
+            String name = header.getKey().toString();
+            if (isForwarded(name) && !listsHeader(connectionOptions, name)) {
+                to.add(name, header.getValue());
+            }
+        }
     }
 
-    private static void copy(HttpHeaders from, HttpHeaders to, boolean includeInternal) {
-        String connectionOptions =
-                String.join(",", from.getAll("Connection")).toLowerCase(Locale.ROOT);
-        from.forEach(
-                header -> {
-                    String name = lowerCase(header.getKey());
-                    if (!isHopByHop(name)
-                            && (includeInternal || !INTERNAL_HEADERS.contains(name))
-                            && !listsHeader(connectionOptions, name)) {
-                        to.add(header.getKey(), header.getValue());
-                    }
-                });
+    private static boolean isForwarded(String name) {
+        Boolean known = FORWARDED.get(name);
+        if (known != null) {
+            return known;
+        }
+        String lowerCase = lowerCase(name);
+        boolean forwarded = !isHopByHop(lowerCase) && !INTERNAL_HEADERS.contains(lowerCase);
+        if (FORWARDED.size() < MAX_KNOWN_NAMES) {
+            FORWARDED.put(name, forwarded);
+        }
+        return forwarded;
     }
 
     private static boolean listsHeader(String connectionOptions, String name) {
-        if (connectionOptions.isEmpty() || !connectionOptions.contains(name)) {
+        if (connectionOptions.isEmpty() || !connectionOptions.contains(lowerCase(name))) {
             return false;
         }
         for (String token : connectionOptions.split(",")) {
-            if (token.trim().equals(name)) {
+            if (token.trim().equalsIgnoreCase(name)) {
                 return true;
             }
         }
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -199,8 +200,9 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(answer.status()),
-                        headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body()));
-        HopHeaders.copyAll(answer.headers(), response.headers());
+                        headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body()),
+                        answer.headers(),
+                        EmptyHttpHeaders.INSTANCE);
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -108,17 +109,16 @@
     }
 
     private static FullHttpRequest encode(OutboundRequest sent) {
-        FullHttpRequest message =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.valueOf(sent.method()),
-                        sent.target(),
-                        Unpooled.wrappedBuffer(sent.body()));
-        message.headers().set(sent.headers());
         if (sent.body().length > 0 || !bodiless(sent.method())) {
-            message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, sent.body().length);
+            sent.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, sent.body().length);
         }
-        return message;
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(sent.method()),
+                sent.target(),
+                Unpooled.wrappedBuffer(sent.body()),
+                sent.headers(),
+                EmptyHttpHeaders.INSTANCE);
     }
 
     private static boolean bodiless(String method) {
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -1,7 +1,6 @@
 package dev.zinniaring.calls;
 
 import dev.zinniaring.kernel.Clock;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
@@ -85,10 +84,7 @@
         misdirected = action;
     }
 
-    /**
-     * Refuses all waiting calls with the given reason, and all further calls until the backend
-     * server is replaced.
-     */
+    /** Refuses all waiting and all further calls with the given reason. */
     public void refuse(String reason) {
         refusalReason = reason;
         refuseWaiting(reason);
@@ -105,7 +101,6 @@
     public void resetForNewServer() {
         downUntilNanos = clock.nanos();
         backOffNanos = MIN_BACK_OFF_NANOS;
-        refusalReason = null;
     }
 
     /** Returns the current load of the backend server. */
@@ -250,7 +245,7 @@
 
         private OutboundRequest request(long leftNanos) {
             Exchange exchange = job.exchange();
-            HttpHeaders headers = new DefaultHttpHeaders();
+            HttpHeaders headers = HopHeaders.unvalidated();
             HopHeaders.copyEndToEnd(exchange.headers(), headers);
             long leftMillis = Math.max(1, leftNanos / 1_000_000L);
             headers.set(names.deadlineMillis(), leftMillis);
--- a/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
@@ -1,6 +1,5 @@
 package dev.zinniaring.calls;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
@@ -51,7 +50,7 @@
     }
 
     private static Answer encode(OwnerResult result) {
-        HttpHeaders headers = new DefaultHttpHeaders();
+        HttpHeaders headers = HopHeaders.unvalidated();
         headers.set(HopHeaders.OUTCOME, result.outcome().headerValue());
         ServerLoad load = result.load();
         if (load != null) {
--- a/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
@@ -88,6 +88,9 @@
 
     /** Returns the estimated number of calls that run or wait at the server. */
     double load(long nowNanos) {
+        if (otherCallsAtReport == 0) {
+            return outstanding;
+        }
         double age = Math.max(0, nowNanos - reportNanos);
         return outstanding + otherCallsAtReport * Math.pow(0.5, age / REPORT_HALF_LIFE_NANOS);
     }
@@ -99,6 +102,9 @@
 
     /** Returns the failure rate, decayed to the given time. */
     double failureRate(long nowNanos) {
+        if (failureRate == 0) {
+            return 0;
+        }
         double age = Math.max(0, nowNanos - failureNanos);
         return failureRate * Math.pow(0.5, age / FAILURE_HALF_LIFE_NANOS);
     }
--- a/calls/src/main/java/dev/zinniaring/calls/SlotReservation.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotReservation.java
@@ -51,8 +51,17 @@
 
     /** Returns the number of slots that calls which are not urgent may use; at least 1. */
     int nonUrgentSlots(int slots) {
-        boolean any = seenNanos.keySet().stream().anyMatch(this::urgent);
-        int reserved = any ? (slots + SLOTS_PER_RESERVED_SLOT - 1) / SLOTS_PER_RESERVED_SLOT : 0;
+        int reserved =
+                anyUrgent() ? (slots + SLOTS_PER_RESERVED_SLOT - 1) / SLOTS_PER_RESERVED_SLOT : 0;
         return Math.max(1, slots - reserved);
     }
+
+    private boolean anyUrgent() {
+        for (CallClass callClass : seenNanos.keySet()) {
+            if (urgent(callClass)) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
@@ -383,6 +383,23 @@
         assertThat(server.requests).isEmpty();
     }
 
+    /**
+     * A backend server may start during the shutdown of its node. Calls for it would be cut when the
+     * node exits.
+     */
+    @Test
+    void aNodeThatShutsDownRefusesCallsForAServerThatHasJustStarted() throws Exception {
+        group.submit(
+                        () -> {
+                            owner.refuse("node-leaving");
+                            owner.resetForNewServer();
+                        })
+                .get(WAIT_SECONDS, TimeUnit.SECONDS);
+        server.answers.add(ok("cut"));
+        assertThat(call("POST", "/once/x")).startsWith("503");
+        assertThat(server.requests).isEmpty();
+    }
+
     /** A client that disconnects must release the slot that its call occupies. */
     @Test
     void theCallOfADisconnectedClientIsCancelled() throws Exception {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -81,6 +81,11 @@
     private boolean pullingServers;
     private int round;
 
+    /** The directory's nodes in the order in which they read for the zone, sorted once a change. */
+    private List<EndpointRecord> candidates = List.of();
+
+    private List<EndpointRecord> candidatesOf = List.of();
+
     /**
      * Creates the gossip component.
      *
@@ -118,12 +123,18 @@
 
     /** Returns whether this node is the one that watches the store for its zone. */
     boolean isReader() {
-        List<EndpointRecord> order = readerCandidates();
-        return order.isEmpty() || order.get(0).callAddress().equals(ownAddress);
+        EndpointRecord reader = reader();
+        return reader == null || reader.callAddress().equals(ownAddress);
     }
 
-    private List<EndpointRecord> readerCandidates() {
-        return ReaderSelection.candidates(directory.present(), zone, this::isFailing);
+    /** Returns the node that watches the store for this zone, or null if none is known. */
+    private @Nullable EndpointRecord reader() {
+        List<EndpointRecord> present = directory.present();
+        if (present != candidatesOf) {
+            candidatesOf = present;
+            candidates = ReaderSelection.candidates(present, zone);
+        }
+        return ReaderSelection.reader(candidates, this::isFailing);
     }
 
     private boolean isFailing(EndpointRecord node) {
@@ -143,7 +154,7 @@
         } else if (round % ROUNDS_PER_ZONE_PEER == 0) {
             peer = randomPeer(other -> other.zone().equals(zone));
         } else if (!isReader()) {
-            peer = readerCandidates().get(0);
+            peer = reader();
         }
         if (peer != null) {
             exchangeDigests(peer.callAddress());
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ReaderSelection.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ReaderSelection.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Selects the node of each availability zone that watches the store on behalf of the zone, so that
@@ -14,22 +15,31 @@
 final class ReaderSelection {
     private ReaderSelection() {}
 
-    /**
-     * Returns the healthy nodes of a zone in order of preference; the first one is the reader.
-     *
-     * @param failing whether a node recently failed to answer
-     */
-    static List<EndpointRecord> candidates(
-            Collection<EndpointRecord> nodes, String zone, Predicate<EndpointRecord> failing) {
+    /** Returns the nodes of a zone in the order in which they are preferred as reader. */
+    static List<EndpointRecord> candidates(Collection<EndpointRecord> nodes, String zone) {
         return nodes.stream()
                 .filter(node -> node.zone().equals(zone))
-                .filter(failing.negate())
                 .sorted(
                         Comparator.<EndpointRecord>comparingInt(node -> hash(node.nodeId()))
                                 .thenComparing(EndpointRecord::nodeId))
                 .toList();
     }
 
+    /**
+     * Returns the reader among the candidates, or null if there is none.
+     *
+     * @param failing whether a node recently failed to answer
+     */
+    static @Nullable EndpointRecord reader(
+            List<EndpointRecord> candidates, Predicate<EndpointRecord> failing) {
+        for (EndpointRecord candidate : candidates) {
+            if (!failing.test(candidate)) {
+                return candidate;
+            }
+        }
+        return null;
+    }
+
     /**
      * Hashes a node name, since names in sequence would make the first VM of each zone the reader.
      */
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
@@ -23,6 +23,7 @@
     private final Set<String> storedNodes = new HashSet<>();
 
     private final AtomicReference<ServerList> snapshot = new AtomicReference<>(ServerList.EMPTY);
+    private List<EndpointRecord> present = List.of();
     private long revision = -1;
 
     /** Merges records that nodes reported about themselves. */
@@ -91,6 +92,7 @@
                     (one, other) -> one.incarnation() >= other.incarnation() ? one : other);
         }
         snapshot.set(new ServerList(byAddress.values()));
+        present = byNode.values().stream().filter(r -> r.state() != EndpointState.GONE).toList();
     }
 
     ServerList servers() {
@@ -110,6 +112,6 @@
 
     /** Returns the records of all nodes except those that have left. */
     List<EndpointRecord> present() {
-        return byNode.values().stream().filter(r -> r.state() != EndpointState.GONE).toList();
+        return present;
     }
 }
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/ReaderSelectionTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/ReaderSelectionTest.java
@@ -22,20 +22,23 @@
     @Test
     void readerDoesNotDependOnTheOrderOfNodes() {
         List<EndpointRecord> nodes = nodes(25);
-        EndpointRecord first = ReaderSelection.candidates(nodes, "a", node -> false).get(0);
+        EndpointRecord first = ReaderSelection.candidates(nodes, "a").get(0);
         Collections.shuffle(nodes, new Random(3));
-        assertThat(ReaderSelection.candidates(nodes, "a", node -> false).get(0)).isEqualTo(first);
+        assertThat(ReaderSelection.candidates(nodes, "a").get(0)).isEqualTo(first);
     }
 
     @Test
     void nextCandidateReplacesAFailingReader() {
-        List<EndpointRecord> candidates = ReaderSelection.candidates(nodes(5), "a", node -> false);
-        assertThat(ReaderSelection.candidates(nodes(5), "a", candidates.get(0)::equals))
-                .isEqualTo(candidates.subList(1, 5));
+        List<EndpointRecord> candidates = ReaderSelection.candidates(nodes(5), "a");
+        assertThat(candidates).hasSize(5);
+        assertThat(ReaderSelection.reader(candidates, node -> false)).isEqualTo(candidates.get(0));
+        assertThat(ReaderSelection.reader(candidates, candidates.subList(0, 3)::contains))
+                .isEqualTo(candidates.get(3));
+        assertThat(ReaderSelection.reader(candidates, node -> true)).isNull();
     }
 
     @Test
     void nodesOfOtherZonesAreNotCandidates() {
-        assertThat(ReaderSelection.candidates(nodes(5), "b", node -> false)).isEmpty();
+        assertThat(ReaderSelection.candidates(nodes(5), "b")).isEmpty();
     }
 }
