Close connections after the client has read the last answer, and exit only then

Cause: a connection was closed as soon as its last answer had been handed to the kernel. If the client had sent more meanwhile (a pipelined request, or one that crossed the close), the close became a reset, which discards an answer that the client has not read. A node that was stopped exited when no request was unanswered, though answers could still lie in its buffers. Change: the sending side is closed first, and the connection when the client closes it, after 1 s at the latest; an answer is in flight until it has been written to the socket whole.

--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Returns the number of requests being read or not yet answered. Must be called on the event
-     * loop.
+     * Returns the number of requests that are being read or whose answers are not yet sent whole.
+     * Must be called on the event loop.
      */
     public int inFlight() {
         int count = 0;
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -2,9 +2,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -28,6 +29,9 @@
         implements RequestReader.Listener {
     private static final int REQUEST_TIMEOUT = 408;
 
+    /** Time in which a client is expected to read the last answer and to close the connection. */
+    private static final long LINGER_MILLIS = 1_000;
+
     private final HttpListener listener;
     private final RequestReader reader;
     private final RequestPipeline<Exchange, Answer> pipeline = new RequestPipeline<>();
@@ -37,6 +41,10 @@
     private boolean lastRequestRead;
     private boolean continueExpected;
     private boolean closing;
+
+    /** Answers that were passed to the channel and are not yet written to the socket whole. */
+    private int unsentAnswers;
+
     private long idleSinceNanos;
     private boolean advancing;
 
@@ -208,16 +216,36 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         ChannelFuture written = write(response);
+        if (written != null) {
+            unsentAnswers++;
+            written.addListener(sent -> unsentAnswers--);
+        }
         if (close) {
-            stopReading();
+            dropUnstarted();
             if (written != null) {
-                written.addListener(ChannelFutureListener.CLOSE);
+                written.addListener(sent -> closeGracefully());
             }
         }
     }
 
+    /**
+     * Closes the sending side, and the connection once the client has closed it too (RFC 9112,
+     * section 9.6). Closing it at once would reset it if the client has sent more, and a reset may
+     * discard the last answer before the client has read it.
+     */
+    private void closeGracefully() {
+        ChannelHandlerContext open = context;
+        if (open == null || !open.channel().isActive()) {
+            return;
+        }
+        if (open.channel() instanceof SocketChannel socket) {
+            socket.shutdownOutput();
+        }
+        open.executor().schedule(() -> open.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Drops what was read behind the last answer. The client sends those requests again. */
-    private void stopReading() {
+    private void dropUnstarted() {
         closing = true;
         lastRequestRead = true;
         listener.addReadBytes(-pipeline.bytes());
@@ -253,9 +281,9 @@
         }
     }
 
-    /** Returns the number of requests that are being read or are not yet answered. */
+    /** Returns the number of requests that are being read or whose answers are not yet sent. */
     int inFlight() {
-        return pipeline.size() + (reader.readingBody() ? 1 : 0);
+        return pipeline.size() + unsentAnswers + (reader.readingBody() ? 1 : 0);
     }
 
     /**
--- a/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
@@ -384,8 +384,8 @@
     }
 
     /**
-     * A backend server may start during the shutdown of its node. Calls for it would be cut when the
-     * node exits.
+     * A backend server may start during the shutdown of its node. Calls for it would be cut when
+     * the node exits.
      */
     @Test
     void aNodeThatShutsDownRefusesCallsForAServerThatHasJustStarted() throws Exception {
--- a/calls/src/test/java/dev/zinniaring/calls/PipeliningTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/PipeliningTest.java
@@ -268,4 +268,39 @@
         }
         assertThat(started).isLessThan(requests);
     }
+
+    /** A node that exits with an answer in its buffers would cut it off. */
+    @Test
+    void aRequestIsInFlightUntilItsAnswerHasBeenSentWhole() throws Exception {
+        byte[] large = new byte[30_000_000];
+        send(get("/1"));
+        Exchange exchange = take();
+        group.submit(() -> exchange.answer(Answer.bytes(200, large))).get();
+        assertThat(inFlight()).isOne();
+        assertThat(read()).startsWith("200 ");
+        while (inFlight() > 0) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    private int inFlight() throws Exception {
+        return group.submit(() -> listener.inFlight()).get();
+    }
+
+    /**
+     * A client may have sent more when a connection closes. A reset would discard the last answer,
+     * which the client has not read yet.
+     */
+    @Test
+    void theLastAnswerArrivesThoughTheClientHasSentMore() throws Exception {
+        send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        Exchange exchange = take();
+        byte[] large = new byte[400_000];
+        group.submit(() -> exchange.answer(Answer.bytes(200, large))).get();
+        send(post("/2", "b".repeat(200_000)));
+        TimeUnit.MILLISECONDS.sleep(QUIET_MILLIS);
+        assertThat(read()).hasSize("200 ".length() + large.length + " close".length());
+        assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        assertThat(handled).isEmpty();
+    }
 }
