Keep a leaving server out of use after its node was killed and restarted

Cause: a node knows only by its server's announcements that the server is leaving. One that was killed and restarted took a delayed announcement, or a wrong health check, for a server in use, published it as ready, and calls were sent there after the acknowledged leave. Ruled out: the health check alone; it answers 503 while the server leaves, unless it is wrong. Result: LocalRecordPublisherTest (2) and LocalServerTrackerTest's four new cases pass; before, nothing read the row's state.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/LocalRecordPublisher.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/LocalRecordPublisher.java
@@ -22,6 +22,7 @@
     private final Supplier<ServerSettings> serverSettings;
     private final BooleanSupplier leaving;
     private final Consumer<EndpointRecord> listener;
+    private final long startMillis;
     private long incarnation;
     private long sequence;
     private @Nullable EndpointRecord latest;
@@ -44,7 +45,8 @@
         this.serverSettings = serverSettings;
         this.leaving = leaving;
         this.listener = listener;
-        this.incarnation = clock.now().toEpochMilli();
+        this.startMillis = clock.now().toEpochMilli();
+        this.incarnation = startMillis;
     }
 
     /** Returns the latest published record, or an empty list before the first. */
@@ -80,6 +82,26 @@
         }
     }
 
+    /**
+     * Restores from the table that the backend server was leaving when an earlier incarnation of
+     * this node ended.
+     *
+     * @return whether this changed the state of the current server
+     */
+    boolean restoreLeaving(Collection<EndpointRecord> records) {
+        boolean changed = false;
+        for (EndpointRecord record : records) {
+            if (record.nodeId().equals(settings.nodeId())
+                    && record.incarnation() != incarnation
+                    && record.state() == EndpointState.DRAINING
+                    && serverTracker.restoreLeaving(record.serverId(), startMillis)) {
+                changed = true;
+                publish();
+            }
+        }
+        return changed;
+    }
+
     private EndpointRecord record(@Nullable Announcement announcement) {
         sequence++;
         return new EndpointRecord(
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/LocalServerTracker.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/LocalServerTracker.java
@@ -28,6 +28,8 @@
     private @Nullable Announcement latest;
     private boolean foundByProbe;
     private long lastAnnouncementNanos;
+    private String leftServerId = "";
+    private long leftBornBeforeMillis;
 
     LocalServerTracker(
             Clock clock,
@@ -63,7 +65,7 @@
                 || supersedesTimedOut(announcement, known)) {
             boolean wasLeaving = known != null && foundByProbe && known.leaving();
             latest =
-                    wasLeaving && sameServer(announcement, known)
+                    (wasLeaving && sameServer(announcement, known)) || hasLeft(announcement)
                             ? withLeaving(announcement)
                             : announcement;
             foundByProbe = false;
@@ -79,6 +81,31 @@
         return updateIncarnation(announcement, known);
     }
 
+    /**
+     * Restores from the node's earlier incarnation that a backend server was leaving. Otherwise, an
+     * announcement that was delayed, or a health check that is wrong, would bring it into use
+     * again.
+     *
+     * @param nodeStartMillis start of this incarnation of the node; a server born later is a new
+     *     one under the same id
+     * @return whether this changed the state of the current server
+     */
+    boolean restoreLeaving(String serverId, long nodeStartMillis) {
+        leftServerId = serverId;
+        leftBornBeforeMillis = nodeStartMillis;
+        Announcement known = latest;
+        if (known == null || known.leaving() || !hasLeft(known)) {
+            return false;
+        }
+        latest = withLeaving(known);
+        return true;
+    }
+
+    private boolean hasLeft(Announcement announcement) {
+        return announcement.serverId().equals(leftServerId)
+                && announcement.bornMillis() < leftBornBeforeMillis;
+    }
+
     private static boolean sameServer(Announcement announcement, @Nullable Announcement known) {
         return known != null && known.serverId().equals(announcement.serverId());
     }
@@ -154,7 +181,8 @@
         if (latest != null) {
             return false;
         }
-        latest = new Announcement(serverId, 0, 0, service, address, slots, false, 0);
+        Announcement probed = new Announcement(serverId, 0, 0, service, address, slots, false, 0);
+        latest = hasLeft(probed) ? withLeaving(probed) : probed;
         foundByProbe = true;
         return true;
     }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -357,6 +357,9 @@
         } else {
             directory.mergeStored(records, gone, page.revision());
         }
+        if (localRecord.restoreLeaving(records)) {
+            owner.refuseWaiting("leaving");
+        }
         localRecord.raiseIncarnation(records);
         nodesListed = true;
         if (!page.rows().isEmpty()) {
--- /dev/null
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/LocalRecordPublisherTest.java
@@ -0,0 +1,83 @@
+package dev.zinniaring.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.zinniaring.calls.ServerSettings;
+import dev.zinniaring.kernel.ManualClock;
+import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.model.EndpointState;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a node restores from the records of its earlier incarnations. */
+class LocalRecordPublisherTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+    private static final ServerSettings SERVER = new ServerSettings("/health", 130);
+    private static final long START_MILLIS = 5_000;
+
+    private final ManualClock clock = ManualClock.startingAt(Instant.ofEpochMilli(START_MILLIS));
+    private final LocalServerTracker tracker =
+            new LocalServerTracker(clock, "s", ANY, () -> SERVER);
+    private final List<EndpointRecord> published = new ArrayList<>();
+    private final LocalRecordPublisher publisher =
+            new LocalRecordPublisher(
+                    settings(), clock, tracker, () -> SERVER, () -> false, published::add);
+
+    private static SidecarSettings settings() {
+        return new SidecarSettings(
+                "n",
+                "z",
+                "s",
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                Duration.ofSeconds(6),
+                0.1,
+                10,
+                Duration.ofSeconds(10));
+    }
+
+    private static EndpointRecord record(String nodeId, EndpointState state) {
+        return new EndpointRecord(
+                "i1", "s", nodeId, "z", "127.0.0.1:1", START_MILLIS - 1_000, 3, 6, 130, state, 0);
+    }
+
+    private void announce() {
+        tracker.handleAnnouncement(new Announcement("i1", 10, 4, "s", ANY, 6, false, 0));
+    }
+
+    /**
+     * A node was killed after its server had announced that it leaves. Other nodes must not be told
+     * that the server is ready because of an announcement that was delayed.
+     */
+    @Test
+    void serverThatWasLeavingIsPublishedAsDrainingAfterARestart() {
+        announce();
+        assertThat(publisher.restoreLeaving(List.of(record("n", EndpointState.DRAINING)))).isTrue();
+        assertThat(published)
+                .extracting(EndpointRecord::state)
+                .containsOnly(EndpointState.DRAINING);
+        assertThat(tracker.local().leaving()).isTrue();
+    }
+
+    @Test
+    void recordsOfOtherNodesAndOfReadyServersRestoreNothing() {
+        announce();
+        assertThat(
+                        publisher.restoreLeaving(
+                                List.of(
+                                        record("other", EndpointState.DRAINING),
+                                        record("n", EndpointState.READY))))
+                .isFalse();
+        assertThat(tracker.local().leaving()).isFalse();
+        assertThat(published).isEmpty();
+    }
+}
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/LocalServerTrackerTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/LocalServerTrackerTest.java
@@ -96,6 +96,46 @@
         assertThat(tracker.local().leaving()).isTrue();
     }
 
+    /**
+     * A node that is killed forgets that its server was leaving. A delayed announcement must not
+     * bring the server into use again.
+     */
+    @Test
+    void serverThatWasLeavingBeforeARestartOfTheNodeStaysLeaving() {
+        tracker.restoreLeaving("i1", 1_000);
+        assertThat(tracker.handleAnnouncement(announcement("i1", 10, 4, false)))
+                .isEqualTo(Change.LIFE);
+        assertThat(tracker.local().leaving()).isTrue();
+        tracker.handleAnnouncement(announcement("i1", 10, 5, false));
+        assertThat(tracker.local().leaving()).isTrue();
+    }
+
+    /** The announcement can arrive before the node has read what its earlier incarnation wrote. */
+    @Test
+    void serverThatWasLeavingIsRecognizedAfterItsAnnouncement() {
+        tracker.handleAnnouncement(announcement("i1", 10, 4, false));
+        assertThat(tracker.restoreLeaving("i1", 1_000)).isTrue();
+        assertThat(tracker.local().leaving()).isTrue();
+        assertThat(tracker.restoreLeaving("i1", 1_000)).isFalse();
+    }
+
+    /** Health checks can be wrong about a server that is leaving. */
+    @Test
+    void serverThatWasLeavingIsNotUsedBecauseOfAHealthCheck() {
+        tracker.restoreLeaving("i1", 1_000);
+        tracker.setProbed("i1", 6);
+        assertThat(tracker.local().leaving()).isTrue();
+    }
+
+    @Test
+    void laterOrOtherServersAreNotLeavingAfterARestartOfTheNode() {
+        tracker.restoreLeaving("i1", 1_000);
+        tracker.handleAnnouncement(announcement("i2", 10, 1, false));
+        assertThat(tracker.local().leaving()).isFalse();
+        tracker.handleAnnouncement(announcement("i1", 2_000, 1, false));
+        assertThat(tracker.local().leaving()).isFalse();
+    }
+
     /** The clock of the VM can be set back between two incarnations of a server. */
     @Test
     void incarnationThatLooksOlderIsAcceptedOnceTheKnownOneTimesOut() {
