Validate the values of headers that nodes send to each other and to servers again

Cause: turned off all validation of forwarded headers, but ids of servers and names of routes come from rows and documents of other processes; one with a line break could have added a header or a request. Change: only names, which were decoded or are constants, go unvalidated.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -122,7 +122,7 @@
             retry("status-" + answer.status());
             return;
         }
-        HttpHeaders headers = HopHeaders.unvalidated();
+        HttpHeaders headers = HopHeaders.withKnownNames();
         HopHeaders.copyEndToEnd(answer.headers(), headers);
         if (answer.status() >= SERVER_ERROR) {
             log("server-error", "status-" + answer.status());
--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -1,6 +1,6 @@
 package dev.zinniaring.calls;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Iterator;
@@ -74,11 +74,11 @@
     private HopHeaders() {}
 
     /**
-     * Returns empty headers for names and values that were decoded or are constants, which need no
-     * second validation.
+     * Returns empty headers for names that were decoded or are constants, which need no second
+     * validation. Values are validated, since ids and route names come from other processes.
      */
-    static HttpHeaders unvalidated() {
-        return new DefaultHttpHeaders(false);
+    static HttpHeaders withKnownNames() {
+        return DefaultHttpHeadersFactory.headersFactory().withNameValidation(false).newHeaders();
     }
 
     private static String lowerCase(String name) {
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -245,7 +245,7 @@
 
         private OutboundRequest request(long leftNanos) {
             Exchange exchange = job.exchange();
-            HttpHeaders headers = HopHeaders.unvalidated();
+            HttpHeaders headers = HopHeaders.withKnownNames();
             HopHeaders.copyEndToEnd(exchange.headers(), headers);
             long leftMillis = Math.max(1, leftNanos / 1_000_000L);
             headers.set(names.deadlineMillis(), leftMillis);
--- a/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
@@ -50,7 +50,7 @@
     }
 
     private static Answer encode(OwnerResult result) {
-        HttpHeaders headers = HopHeaders.unvalidated();
+        HttpHeaders headers = HopHeaders.withKnownNames();
         headers.set(HopHeaders.OUTCOME, result.outcome().headerValue());
         ServerLoad load = result.load();
         if (load != null) {
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -91,7 +91,7 @@
         Exchange exchange = job.exchange();
         long nowNanos = clock.nanos();
         long leftMillis = Math.max(1, (job.deadlineNanos() - nowNanos) / 1_000_000L);
-        HttpHeaders headers = HopHeaders.unvalidated();
+        HttpHeaders headers = HopHeaders.withKnownNames();
         HopHeaders.copyEndToEnd(exchange.headers(), headers);
         headers.set(names.deadlineMillis(), leftMillis);
         headers.set(HopHeaders.OWNER_HOP, job.serverId());
