Let the pipelining test of MeshTest name the request in each answer

Seen: MeshTest.pipelinedRequestsAreAnsweredInOrder failed once, "200 two" for "200 one". Cause: the test. Pipelined requests run together since, each on a connection of its own, and the scripted server hands out its answers in the order in which requests reach it, which is not that of the connection. Change: an answer holds the target of its request, so the test checks what it says: each request gets its own answer, in order.

--- a/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MeshTest.java
@@ -53,9 +53,9 @@
 
     /**
      * Server that records requests and replies with raw bytes that a test provides. In these,
-     * {@code ID} stands for the id of the call and {@code AGAIN} for what was sent before on the
-     * connection; {@code RESET} resets the connection, and a reply that ends with {@code CUT} is
-     * followed by a close.
+     * {@code ID} stands for the id of the call, {@code TARGET!} for its target and {@code AGAIN}
+     * for what was sent before on the connection; {@code RESET} resets the connection, and a reply
+     * that ends with {@code CUT} is followed by a close.
      */
     private static final class ScriptedServer implements AutoCloseable {
         private final ServerSocket port;
@@ -107,7 +107,10 @@
                         return;
                     }
                     String id = header(head, "Zinniaring-Call-Id");
-                    String sent = answer.replace("AGAIN", previous).replace("ID", id);
+                    String sent =
+                            answer.replace("AGAIN", previous)
+                                    .replace("ID", id)
+                                    .replace("TARGET!", head.split(" ")[1]);
                     out.write(sent.getBytes(StandardCharsets.ISO_8859_1));
                     out.flush();
                     previous = sent;
@@ -413,13 +416,13 @@
     /** Each request on a connection must receive its own answer, in order. */
     @Test
     void pipelinedRequestsAreAnsweredInOrder() throws Exception {
-        server.answers.add(ok("one"));
-        server.answers.add(ok("two"));
+        server.answers.add(ok("TARGET!"));
+        server.answers.add(ok("TARGET!"));
         try (Socket socket = open()) {
             send(socket, "GET", "/safe/1");
             send(socket, "GET", "/safe/2");
-            assertThat(answer(socket)).isEqualTo("200 one");
-            assertThat(answer(socket)).isEqualTo("200 two");
+            assertThat(answer(socket)).isEqualTo("200 /safe/1");
+            assertThat(answer(socket)).isEqualTo("200 /safe/2");
         }
     }
 
