Log and count the request limits that servers name

Change: HeaderNames has the two headers of the users' pages; the node beside a server logs each change of its limit (part server) and counts changes, malformed limits and requests sent under a limit. No decision uses them yet.

--- a/calls/src/main/java/dev/zinniaring/calls/HeaderNames.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HeaderNames.java
@@ -11,6 +11,9 @@
  * @param load header for the load of the backend server, as {@code running,waiting,slots}
  * @param notExecuted header that is present if the backend server did not run the request
  * @param callerService header for the service of the VM on which the request originated
+ * @param serverLimit header in which a backend server names the requests per second that it accepts
+ *     from all nodes together, as a decimal number
+ * @param serverLeaving header with the value 1 in the answers of a backend server that is leaving
  */
 public record HeaderNames(
         String callId,
@@ -19,7 +22,9 @@
         String serverId,
         String load,
         String notExecuted,
-        String callerService) {
+        String callerService,
+        String serverLimit,
+        String serverLeaving) {
 
     /** Returns a builder with the default names. */
     public static Builder builder() {
@@ -35,6 +40,8 @@
         private String load = "Zinniaring-Server-Load";
         private String notExecuted = "Zinniaring-Not-Run";
         private String callerService = "Zinniaring-Caller";
+        private String serverLimit = "Zinniaring-Server-Limit";
+        private String serverLeaving = "Zinniaring-Server-Leaving";
 
         private Builder() {}
 
@@ -80,6 +87,18 @@
             return this;
         }
 
+        /** Sets the name of the header for the request rate that a server accepts. */
+        public Builder serverLimit(String name) {
+            serverLimit = name;
+            return this;
+        }
+
+        /** Sets the name of the header that marks answers of a server that is leaving. */
+        public Builder serverLeaving(String name) {
+            serverLeaving = name;
+            return this;
+        }
+
         /** Builds the header names. */
         public HeaderNames build() {
             return new HeaderNames(
@@ -89,7 +108,9 @@
                     serverId,
                     load,
                     notExecuted,
-                    callerService);
+                    callerService,
+                    serverLimit,
+                    serverLeaving);
         }
     }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -51,6 +51,7 @@
     private final Set<Run> running = new HashSet<>();
     private final SlotReservation reservation = new SlotReservation();
     private final RunTimes runTimes = new RunTimes();
+    private final LocalServerLimit limit;
     private Runnable misdirected = () -> {};
     private long runningNanos;
     private long downUntilNanos;
@@ -73,6 +74,7 @@
         this.clock = clock;
         this.counters = counters;
         this.servers = servers;
+        this.limit = new LocalServerLimit(counters);
         this.downUntilNanos = clock.nanos();
     }
 
@@ -232,6 +234,7 @@
             running.add(this);
             runningNanos += expectedNanos;
             counters.increment("server_requests");
+            limit.sent();
             PooledHttpClient.Sending sending =
                     client.send(server.address(), request(leftNanos), this);
             job.onCancel(
@@ -278,7 +281,11 @@
                 counters.increment("server_misdirected");
                 misdirected.run();
                 job.end(OwnerResult.declined("other-server", load()));
-            } else if (answer.headers().contains(names.notExecuted())) {
+                dispatchWaiting();
+                return;
+            }
+            limit.answered(server.serverId(), ServerNotice.of(answer.headers(), names));
+            if (answer.headers().contains(names.notExecuted())) {
                 counters.increment("server_declined");
                 job.end(OwnerResult.declined("declined", load()));
             } else {
