Keep to the request limit that a backend server names

Change: the node beside a server, the only one that reaches it, paces the requests of all nodes with a token bucket, most urgent first; calls that would wait too long are refused at once as limited and go to another server; entry nodes count a limited server for as many slots as its limit allows, tell it to a node that was restarted, and send refused callers back when there is room. What to start, queue or refuse moved from OwnerCalls into ServerAdmission, which does no I/O. Result: ServerLimitTest, of which 2 tests failed before, passes; without the report of entry nodes its restart test fails (10 requests).

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -209,6 +209,8 @@
                                 (targetNanos - nowNanos) / 1e6,
                                 (deadlineNanos - nowNanos) / 1e6,
                                 calls.balancer().meanNanos(route) / 1e6,
+                                calls.balancer().backOffNanos(calls.servers().of(service), route)
+                                        / 1e6,
                                 calls.random()));
         finish(refusal, "refused");
     }
@@ -301,6 +303,7 @@
                             deadlineNanos,
                             targetNanos,
                             this::ended);
+            job.knownLimitPerSecond(calls.balancer().limitPerSecond(server));
             job.onProbeFailed(this::probeFailed);
         }
 
--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -26,6 +26,12 @@
     /** Time left until the call's latency target, in milliseconds; negative once it has passed. */
     static final String TARGET = "Zinniaring-Target-Ms";
 
+    /**
+     * Request limit of the server as the entry node knows it, in requests per second; absent if it
+     * knows of none.
+     */
+    static final String KNOWN_LIMIT = "Zinniaring-Known-Limit";
+
     /** Outcome of the call: the header value of an {@link OwnerResult.Outcome}. */
     static final String OUTCOME = "Zinniaring-Outcome";
 
@@ -61,6 +67,7 @@
                     lowerCase(ROUTE),
                     lowerCase(ROUTE_TARGET),
                     lowerCase(TARGET),
+                    lowerCase(KNOWN_LIMIT),
                     lowerCase(OUTCOME),
                     lowerCase(REASON),
                     lowerCase(LOAD));
--- a/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
@@ -41,6 +41,9 @@
      */
     private static final double FAILURE_PENALTY = 3;
 
+    /** Lower bound of the slots of a server with a low request limit, as a divisor. */
+    private static final double MIN_SLOTS = 0.01;
+
     /** Back-off after a server was full; some of its calls finish in this time. */
     private static final long FULL_BACK_OFF_NANOS = 25_000_000L;
 
@@ -113,13 +116,15 @@
             runNanos *= WARM_UP_FACTOR;
         }
         double load = serverStats.load(nowNanos);
-        double slots = Math.max(1, server.slots());
+        double slots = serverStats.effectiveSlots(Math.max(1, server.slots()), runNanos, nowNanos);
         // The wait grows with the square of the utilization up to 0.2 run times, and beyond that
         // with the number of calls that exceed the slots.
-        double waitNanos =
+        double slotWaitNanos =
                 load < slots
                         ? 0.2 * runNanos * (load / slots) * (load / slots)
-                        : runNanos * (load - slots + 1) / slots + 0.2 * runNanos;
+                        : runNanos * (load - slots + 1) / Math.max(MIN_SLOTS, slots)
+                                + 0.2 * runNanos;
+        double waitNanos = Math.max(slotWaitNanos, serverStats.limitWaitNanos(nowNanos));
         double pathNanos = server.zone().equals(zone) ? 0 : CROSS_ZONE_RTT_NANOS;
         double failureNanos = serverStats.failureRate(nowNanos) * FAILURE_PENALTY * targetNanos;
         return runNanos + waitNanos + pathNanos + failureNanos;
@@ -133,6 +138,23 @@
         return runTimes.meanNanos(route.route().name(), route.targetMillis() * 1_000_000L / 3);
     }
 
+    /** Returns the request limit that a server was last known to name, in requests per second. */
+    double limitPerSecond(EndpointRecord server) {
+        return stats(server, clock.nanos()).limitPerSecond();
+    }
+
+    /** Returns the time until the first of the servers leaves back-off for a route. */
+    long backOffNanos(List<EndpointRecord> servers, CallRoute route) {
+        long nowNanos = clock.nanos();
+        return servers.stream()
+                .mapToLong(
+                        server ->
+                                stats(server, nowNanos)
+                                        .backOffNanos(route.route().name(), nowNanos))
+                .min()
+                .orElse(0);
+    }
+
     /** Records that a call is sent to a server. */
     void callStarted(EndpointRecord server) {
         stats(server, clock.nanos()).started();
@@ -158,7 +180,7 @@
             case RAN -> ran(serverStats, route, elapsedNanos, result, nowNanos);
             case DECLINED -> serverStats.recordRun(0, 0, true, nowNanos);
             case UNKNOWN -> serverStats.recordRun(0, 0, true, nowNanos);
-            default -> refused(serverStats, route, result.reason(), nowNanos);
+            default -> refused(serverStats, route, result, nowNanos);
         }
     }
 
@@ -177,8 +199,13 @@
     }
 
     private static void refused(
-            ServerStats serverStats, CallRoute route, String reason, long nowNanos) {
-        if (reason.equals("full") || reason.equals("too-late")) {
+            ServerStats serverStats, CallRoute route, OwnerResult result, long nowNanos) {
+        String reason = result.reason();
+        if (reason.equals("limited")) {
+            long waitNanos = serverStats.limitWaitNanos(nowNanos);
+            long nanos = Math.max(FULL_BACK_OFF_NANOS, Math.min(MAX_BACK_OFF_NANOS, waitNanos));
+            serverStats.backOffRoute(route.route().name(), nanos, nowNanos);
+        } else if (reason.equals("full") || reason.equals("too-late")) {
             serverStats.backOffRoute(route.route().name(), FULL_BACK_OFF_NANOS, nowNanos);
         } else {
             serverStats.backOff(MIN_BACK_OFF_NANOS, MAX_BACK_OFF_NANOS, nowNanos);
--- a/calls/src/main/java/dev/zinniaring/calls/LocalServerLimit.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LocalServerLimit.java
@@ -3,48 +3,79 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The request rate that the local backend server accepts, as named in its answers. */
+/**
+ * The request limit of the local backend server, as named in its answers. A node that has been
+ * restarted learns it from the entry nodes that passed such an answer on, until the server answers.
+ */
 final class LocalServerLimit {
     private static final Logger log = LoggerFactory.getLogger("server");
-    private static final double NONE = Double.POSITIVE_INFINITY;
 
     private final CallCounters counters;
-    private double perSecond = NONE;
+    private final ServerRateLimit rate;
+    private String serverId = "";
+    private boolean answered;
 
-    LocalServerLimit(CallCounters counters) {
+    /**
+     * Creates the tracker of a limit.
+     *
+     * @param rate receives each change
+     */
+    LocalServerLimit(ServerRateLimit rate, CallCounters counters) {
+        this.rate = rate;
         this.counters = counters;
     }
 
-    /** Records what a backend server said about itself in an answer. */
-    void answered(String serverId, ServerNotice notice) {
+    /** Sets the server to which requests are sent; what an earlier one named ends. */
+    void use(String id) {
+        if (!id.equals(serverId)) {
+            change(ServerRateLimit.NONE, "new-server");
+            serverId = id;
+            answered = false;
+        }
+    }
+
+    /** Records what the server said about itself in an answer. */
+    void answered(String id, ServerNotice notice) {
+        if (!id.equals(serverId)) {
+            return;
+        }
         if (notice.limitMalformed()) {
             counters.increment("server_limit_malformed");
             return;
         }
-        change(serverId, notice.limitPerSecond().orElse(NONE), "answer");
+        answered = true;
+        change(notice.limitPerSecond().orElse(ServerRateLimit.NONE), "answer");
+    }
+
+    /** Records the limit that an entry node knows of; ignored once the server itself answered. */
+    void reported(double perSecond) {
+        if (perSecond != ServerRateLimit.NONE && !answered && !rate.named()) {
+            change(perSecond, "entry-node");
+        }
     }
 
-    private void change(String serverId, double newPerSecond, String source) {
-        if (newPerSecond == perSecond) {
+    private void change(double perSecond, String source) {
+        double before = rate.perSecond();
+        if (perSecond == before) {
             return;
         }
         counters.increment("server_limit_changed");
         log.info(
                 "request limit changed server={} per_s={} before_per_s={} from={}",
                 serverId,
-                text(newPerSecond),
                 text(perSecond),
+                text(before),
                 source);
-        perSecond = newPerSecond;
+        rate.name(perSecond);
     }
 
     private static String text(double limitPerSecond) {
-        return limitPerSecond == NONE ? "none" : String.valueOf(limitPerSecond);
+        return limitPerSecond == ServerRateLimit.NONE ? "none" : String.valueOf(limitPerSecond);
     }
 
     /** Records that a request is sent to the server. */
     void sent() {
-        if (perSecond != NONE) {
+        if (rate.named()) {
             counters.increment("server_requests_under_limit");
         }
     }
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -3,8 +3,7 @@
 import dev.zinniaring.kernel.Clock;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -47,13 +46,10 @@
     private final Clock clock;
     private final CallCounters counters;
     private final Supplier<@Nullable LocalServer> servers;
-    private final SlotQueue<OwnerJob> queue = new SlotQueue<>();
-    private final Set<Run> running = new HashSet<>();
-    private final SlotReservation reservation = new SlotReservation();
-    private final RunTimes runTimes = new RunTimes();
     private final LocalServerLimit limit;
+    private final ServerAdmission<OwnerJob> admission;
     private Runnable misdirected = () -> {};
-    private long runningNanos;
+    private boolean awaitingLimit;
     private long downUntilNanos;
     private long backOffNanos = MIN_BACK_OFF_NANOS;
     private @Nullable String refusalReason;
@@ -74,7 +70,9 @@
         this.clock = clock;
         this.counters = counters;
         this.servers = servers;
-        this.limit = new LocalServerLimit(counters);
+        ServerRateLimit rate = new ServerRateLimit(clock);
+        this.limit = new LocalServerLimit(rate, counters);
+        this.admission = new ServerAdmission<>(clock, rate);
         this.downUntilNanos = clock.nanos();
     }
 
@@ -94,7 +92,7 @@
 
     /** Refuses the waiting calls with the given reason; later calls are not affected. */
     public void refuseWaiting(String reason) {
-        for (OwnerJob job : queue.removeAll()) {
+        for (OwnerJob job : admission.removeAll()) {
             job.end(OwnerResult.notRun(reason, load()));
         }
     }
@@ -105,20 +103,26 @@
         backOffNanos = MIN_BACK_OFF_NANOS;
     }
 
+    /** Records what the backend server said about itself in the answer to a health check. */
+    public void serverAnswered(String serverId, ServerNotice notice) {
+        limit.use(serverId);
+        limit.answered(serverId, notice);
+    }
+
     /** Returns the current load of the backend server. */
     ServerLoad load() {
         LocalServer server = servers.get();
-        return new ServerLoad(running.size(), queue.size(), server == null ? 1 : server.slots());
+        return admission.load(server == null ? 1 : server.slots());
     }
 
     /** Returns the number of running calls. */
     public int running() {
-        return running.size();
+        return admission.running();
     }
 
     /** Returns the number of waiting calls. */
     public int waiting() {
-        return queue.size();
+        return admission.waiting();
     }
 
     /** Accepts a call: starts, queues or refuses it. It ends with a result unless cancelled. */
@@ -129,35 +133,49 @@
             job.end(OwnerResult.notRun(refusal == null ? "no-server" : refusal, load()));
             return;
         }
-        long nowNanos = clock.nanos();
-        boolean urgent = urgent(job, nowNanos);
-        int usableSlots = urgent ? slots(server) : reservation.nonUrgentSlots(slots(server));
-        if (running.size() < usableSlots && (urgent || queue.size() == 0)) {
+        limit.use(server.serverId());
+        limit.reported(job.knownLimitPerSecond());
+        ServerAdmission.Offer<OwnerJob> offer = admission.offer(job, slots(server));
+        SlotQueue.Entry<OwnerJob> entry = offer.entry();
+        if (offer.verdict() == ServerAdmission.Verdict.START) {
             new Run(job, server).start();
-            return;
+        } else if (entry == null) {
+            refuse(job, offer.verdict());
+        } else {
+            job.onCancel(() -> admission.remove(entry));
+            refuseDelayed();
+            awaitLimit();
         }
-        SlotQueue.Entry<OwnerJob> entry =
-                queue.offer(
-                        job,
-                        new SlotQueue.CallProfile(
-                                job.rankOrder(),
-                                urgent,
-                                expectedNanos(job),
-                                job.targetNanos(),
-                                job.deadlineNanos()),
-                        usableSlots,
-                        runningNanos,
-                        nowNanos);
-        if (entry == null) {
-            counters.increment("owner_full");
-            job.end(OwnerResult.notRun("full", load()));
-            return;
+    }
+
+    private void refuse(OwnerJob job, ServerAdmission.Verdict verdict) {
+        String reason = verdict == ServerAdmission.Verdict.LIMITED ? "limited" : "full";
+        counters.increment("owner_" + reason);
+        job.end(OwnerResult.notRun(reason, load()));
+    }
+
+    /** Refuses waiting calls that the server's limit delays beyond their deadline. */
+    private void refuseDelayed() {
+        for (OwnerJob job : admission.removeDelayed()) {
+            refuse(job, ServerAdmission.Verdict.LIMITED);
         }
-        job.onCancel(() -> queue.remove(entry));
     }
 
-    private boolean urgent(OwnerJob job, long nowNanos) {
-        return reservation.isUrgent(job.rankOrder(), job.routeTargetMillis(), nowNanos);
+    /** Continues with the waiting calls when the server's limit allows the next one. */
+    private void awaitLimit() {
+        long waitNanos = admission.limitWaitNanos();
+        if (waitNanos == 0 || awaitingLimit) {
+            return;
+        }
+        awaitingLimit = true;
+        client.loop()
+                .schedule(
+                        () -> {
+                            awaitingLimit = false;
+                            dispatchWaiting();
+                        },
+                        waitNanos,
+                        TimeUnit.NANOSECONDS);
     }
 
     private @Nullable String refusal(OwnerJob job, @Nullable LocalServer server) {
@@ -180,26 +198,17 @@
         return Math.max(1, Math.min(server.slots(), server.settings().maxConnections()));
     }
 
-    private long expectedNanos(OwnerJob job) {
-        long fallbackNanos = Math.max(0, job.targetNanos() - clock.nanos()) / 3;
-        return runTimes.meanNanos(job.routeName(), fallbackNanos);
-    }
-
     /** Refuses waiting calls that can no longer meet their deadline, then fills free slots. */
     public void dispatchWaiting() {
-        long nowNanos = clock.nanos();
-        for (OwnerJob job : queue.removeExpired(nowNanos)) {
+        for (OwnerJob job : admission.removeExpired()) {
             counters.increment("owner_too_late");
             job.end(OwnerResult.notRun("too-late", load()));
         }
         while (true) {
             LocalServer server = servers.get();
-            if (server == null || running.size() >= slots(server)) {
-                return;
-            }
-            boolean urgentOnly = running.size() >= reservation.nonUrgentSlots(slots(server));
-            OwnerJob next = queue.poll(urgentOnly, nowNanos);
-            if (next == null) {
+            OwnerJob next = server == null ? null : admission.next(slots(server));
+            if (server == null || next == null) {
+                awaitLimit();
                 return;
             }
             String refusal = refusal(next, server);
@@ -222,7 +231,7 @@
         Run(OwnerJob job, LocalServer server) {
             this.job = job;
             this.server = server;
-            this.expectedNanos = expectedNanos(job);
+            this.expectedNanos = admission.expectedNanos(job);
         }
 
         void start() {
@@ -231,8 +240,7 @@
                 job.end(OwnerResult.notRun("too-late", load()));
                 return;
             }
-            running.add(this);
-            runningNanos += expectedNanos;
+            admission.started(expectedNanos);
             counters.increment("server_requests");
             limit.sent();
             PooledHttpClient.Sending sending =
@@ -240,7 +248,7 @@
             job.onCancel(
                     () -> {
                         sending.cancel();
-                        runTimes.abandoned(job.routeName(), clock.nanos() - startNanos);
+                        admission.runTimes().abandoned(job.routeName(), clock.nanos() - startNanos);
                         release();
                         dispatchWaiting();
                     });
@@ -268,8 +276,7 @@
         private void release() {
             if (!ended) {
                 ended = true;
-                running.remove(this);
-                runningNanos -= expectedNanos;
+                admission.ended(expectedNanos);
             }
         }
 
@@ -285,11 +292,14 @@
                 return;
             }
             limit.answered(server.serverId(), ServerNotice.of(answer.headers(), names));
+            refuseDelayed();
             if (answer.headers().contains(names.notExecuted())) {
                 counters.increment("server_declined");
                 job.end(OwnerResult.declined("declined", load()));
             } else {
-                runTimes.completed(job.routeName(), clock.nanos() - startNanos, answer.status());
+                admission
+                        .runTimes()
+                        .completed(job.routeName(), clock.nanos() - startNanos, answer.status());
                 job.end(OwnerResult.ran(answer, load()));
             }
             dispatchWaiting();
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
@@ -4,7 +4,7 @@
 import java.util.function.IntConsumer;
 
 /** One attempt of a call, sent by an entry node to the owner node of a backend server. */
-final class OwnerJob {
+final class OwnerJob implements AdmissibleCall {
     private final String serverId;
     private final Exchange exchange;
     private final String callId;
@@ -14,6 +14,7 @@
     private final long deadlineNanos;
     private final long targetNanos;
     private final Consumer<OwnerResult> results;
+    private double knownLimitPerSecond = ServerRateLimit.NONE;
     private Runnable cancellation = () -> {};
     private IntConsumer probeFailureAction = failedProbes -> {};
     private boolean ended;
@@ -61,27 +62,41 @@
         return callId;
     }
 
-    String routeName() {
+    @Override
+    public String routeName() {
         return routeName;
     }
 
-    /** Returns the latency target that the route declares, in milliseconds. */
-    long routeTargetMillis() {
+    @Override
+    public long routeTargetMillis() {
         return routeTargetMillis;
     }
 
-    int rankOrder() {
+    @Override
+    public int rankOrder() {
         return rankOrder;
     }
 
-    long deadlineNanos() {
+    @Override
+    public long deadlineNanos() {
         return deadlineNanos;
     }
 
-    long targetNanos() {
+    @Override
+    public long targetNanos() {
         return targetNanos;
     }
 
+    /** Returns the request limit of the server as the entry node knows it. */
+    double knownLimitPerSecond() {
+        return knownLimitPerSecond;
+    }
+
+    /** Sets the request limit of the server as the entry node knows it. */
+    void knownLimitPerSecond(double perSecond) {
+        knownLimitPerSecond = perSecond;
+    }
+
     boolean ended() {
         return ended;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
@@ -45,6 +45,10 @@
                         arrivedNanos + leftMillis * 1_000_000L,
                         arrivedNanos + targetMillis * 1_000_000L,
                         result -> exchange.answer(encode(result)));
+        String knownLimit = headers.get(HopHeaders.KNOWN_LIMIT);
+        if (knownLimit != null) {
+            ServerNotice.parseLimit(knownLimit).ifPresent(job::knownLimitPerSecond);
+        }
         exchange.onCancel(job::cancel);
         owner.accept(job);
     }
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -99,6 +99,9 @@
         headers.set(HopHeaders.ROUTE, job.routeName());
         headers.set(HopHeaders.ROUTE_TARGET, job.routeTargetMillis());
         headers.set(HopHeaders.TARGET, (job.targetNanos() - nowNanos) / 1_000_000L);
+        if (job.knownLimitPerSecond() != ServerRateLimit.NONE) {
+            headers.set(HopHeaders.KNOWN_LIMIT, job.knownLimitPerSecond());
+        }
         headers.set(HttpHeaderNames.CONNECTION, "keep-alive");
         return new OutboundRequest(
                 exchange.method(),
--- a/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
@@ -107,6 +107,10 @@
         return clock;
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     ReceiveBudget receiveBudget() {
         return receiveBudget;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/RetryAfter.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RetryAfter.java
@@ -25,12 +25,18 @@
      * @param targetLeftMillis time until the target, negative once it has passed
      * @param leftMillis time until the deadline
      * @param runMillis expected run time of the call
+     * @param roomMillis time until a server is expected to have room
      */
     static String seconds(
-            double targetLeftMillis, double leftMillis, double runMillis, RandomGenerator random) {
+            double targetLeftMillis,
+            double leftMillis,
+            double runMillis,
+            double roomMillis,
+            RandomGenerator random) {
         double latestMillis = Math.max(MIN_LATEST_MILLIS, targetLeftMillis - 2 * runMillis);
         latestMillis = Math.min(latestMillis, Math.max(1, MAX_DELAY_FRACTION * leftMillis));
-        double earliestMillis = MIN_DELAY_FRACTION * latestMillis;
+        double earliestMillis =
+                Math.max(MIN_DELAY_FRACTION * latestMillis, Math.min(roomMillis, latestMillis));
         double millis = earliestMillis + random.nextDouble() * (latestMillis - earliestMillis);
         return String.format(Locale.ROOT, "%.3f", millis / 1000);
     }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerNotice.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerNotice.java
@@ -17,14 +17,15 @@
     /** Reads the headers of an answer. */
     public static ServerNotice of(HttpHeaders headers, HeaderNames names) {
         String limit = headers.get(names.serverLimit());
-        OptionalDouble limitPerSecond = limit == null ? OptionalDouble.empty() : parse(limit);
+        OptionalDouble limitPerSecond = limit == null ? OptionalDouble.empty() : parseLimit(limit);
         return new ServerNotice(
                 limitPerSecond,
                 limit != null && limitPerSecond.isEmpty(),
                 "1".equals(headers.get(names.serverLeaving())));
     }
 
-    private static OptionalDouble parse(String text) {
+    /** Parses a limit; returns empty unless it is a finite number of at least 0. */
+    static OptionalDouble parseLimit(String text) {
         if (text.length() > MAX_NUMBER_LENGTH) {
             return OptionalDouble.empty();
         }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
@@ -18,7 +18,17 @@
     /** Half-life of the failure rate; it decays so that a failed server is tried again. */
     private static final double FAILURE_HALF_LIFE_NANOS = 3e9;
 
+    /**
+     * A limit that the server has not confirmed for this long no longer affects the choice, so that
+     * a server with a low limit is asked again.
+     */
+    private static final long LIMIT_RETENTION_NANOS = 5_000_000_000L;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private int outstanding;
+    private double limitPerSecond = ServerRateLimit.NONE;
+    private long limitWaitUntilNanos;
     private double otherCallsAtReport;
     private long reportNanos;
     private double relativeRunTime = 1;
@@ -37,6 +47,7 @@
         reportNanos = nowNanos;
         failureNanos = nowNanos;
         backOffUntilNanos = nowNanos;
+        limitWaitUntilNanos = nowNanos;
     }
 
     void started() {
@@ -49,9 +60,36 @@
         if (load != null) {
             otherCallsAtReport = Math.max(0, load.running() + load.waiting() - outstanding);
             reportNanos = nowNanos;
+            limitPerSecond = load.limitPerSecond();
+            limitWaitUntilNanos = nowNanos + load.limitWaitMillis() * 1_000_000L;
         }
     }
 
+    /** Returns the request limit that the server was last known to name. */
+    double limitPerSecond() {
+        return limitPerSecond;
+    }
+
+    /**
+     * Returns the number of calls that the server can run at the same time: its slots, or fewer if
+     * its request limit allows fewer calls of the given run time.
+     */
+    double effectiveSlots(int slots, double runNanos, long nowNanos) {
+        return limitKnown(nowNanos)
+                ? Math.min(slots, limitPerSecond * runNanos / NANOS_PER_SECOND)
+                : slots;
+    }
+
+    /** Returns the time until the server's request limit allows another call. */
+    long limitWaitNanos(long nowNanos) {
+        return limitKnown(nowNanos) ? Math.max(0, limitWaitUntilNanos - nowNanos) : 0;
+    }
+
+    private boolean limitKnown(long nowNanos) {
+        return limitPerSecond != ServerRateLimit.NONE
+                && nowNanos - reportNanos < LIMIT_RETENTION_NANOS;
+    }
+
     /**
      * Records whether a call failed and, if it did not, its run time relative to the mean of its
      * route over all servers.
@@ -81,9 +119,14 @@
 
     /** Returns whether the server is in back-off for a route. */
     boolean inBackOff(String route, long nowNanos) {
+        return backOffNanos(route, nowNanos) > 0;
+    }
+
+    /** Returns the remaining back-off for a route. */
+    long backOffNanos(String route, long nowNanos) {
         Long routeBackOffUntil = routeBackOffUntilNanos.get(route);
-        return nowNanos < backOffUntilNanos
-                || (routeBackOffUntil != null && nowNanos < routeBackOffUntil);
+        long routeNanos = routeBackOffUntil == null ? 0 : routeBackOffUntil - nowNanos;
+        return Math.max(0, Math.max(backOffUntilNanos - nowNanos, routeNanos));
     }
 
     /** Returns the estimated number of calls that run or wait at the server. */
--- a/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.function.IntToLongFunction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -77,8 +78,27 @@
      */
     @Nullable Entry<T> offer(
             T item, CallProfile profile, int slots, long runningNanos, long nowNanos) {
+        return offer(item, profile, slots, runningNanos, nowNanos, ahead -> 0);
+    }
+
+    /**
+     * Adds a call as {@link #offer(Object, CallProfile, int, long, long)} does, for a server that
+     * also limits the rate of its requests.
+     *
+     * @param rateWaitNanos returns the wait that the rate limit imposes on a call, by the number of
+     *     calls ahead of it
+     */
+    @Nullable Entry<T> offer(
+            T item,
+            CallProfile profile,
+            int slots,
+            long runningNanos,
+            long nowNanos,
+            IntToLongFunction rateWaitNanos) {
         Entry<T> entry = new Entry<>(item, profile, nextNumber++);
-        long waitNanos = waitNanos(entry, slots, runningNanos);
+        int ahead = waiting.headSet(entry).size();
+        long waitNanos =
+                Math.max(waitNanos(entry, slots, runningNanos), rateWaitNanos.applyAsLong(ahead));
         long doneNanos = nowNanos + waitNanos + profile.expectedNanos();
         if (doneNanos > profile.deadlineNanos()) {
             return null;
@@ -137,6 +157,28 @@
         return nowNanos + entry.profile.expectedNanos() / 2 > entry.profile.deadlineNanos();
     }
 
+    /**
+     * Removes and returns the calls that a rate limit delays beyond their deadline, for example
+     * because more urgent calls have arrived.
+     *
+     * @param rateWaitNanos returns the wait of a call by the number of calls ahead of it
+     */
+    List<T> removeDelayed(IntToLongFunction rateWaitNanos, long nowNanos) {
+        List<T> removed = new ArrayList<>();
+        int ahead = 0;
+        for (Iterator<Entry<T>> entries = waiting.iterator(); entries.hasNext(); ) {
+            Entry<T> entry = entries.next();
+            long startNanos = nowNanos + rateWaitNanos.applyAsLong(ahead);
+            if (missesDeadline(entry, startNanos)) {
+                entries.remove();
+                removed.add(entry.item);
+            } else {
+                ahead++;
+            }
+        }
+        return removed;
+    }
+
     /** Removes a call, for example because its caller has disconnected. */
     void remove(Entry<T> entry) {
         waiting.remove(entry);
--- a/calls/src/test/java/dev/zinniaring/calls/RetryAfterTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/RetryAfterTest.java
@@ -14,7 +14,8 @@
     void retryAfterIsAtMostAThirdOfTheTimeLeft(double target, double left, double run) {
         SplittableRandom random = new SplittableRandom(1);
         IntStream.range(0, 100)
-                .mapToDouble(i -> Double.parseDouble(RetryAfter.seconds(target, left, run, random)))
+                .mapToDouble(
+                        i -> Double.parseDouble(RetryAfter.seconds(target, left, run, 0, random)))
                 .forEach(seconds -> assertThat(seconds).isBetween(0.0, left / 3 / 1000));
     }
 }
--- a/calls/src/test/java/dev/zinniaring/calls/ServerLimitTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/ServerLimitTest.java
@@ -19,9 +19,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -32,6 +34,9 @@
 class ServerLimitTest {
     private static final int CALLS = 10;
 
+    /** Less than the time between two requests under the limits of the tests. */
+    private static final int TARGET_MILLIS = 300;
+
     private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HeaderNames names = HeaderNames.builder().build();
@@ -89,7 +94,19 @@
     }
 
     private static Configuration configuration() {
-        Route route = new Route("r", "h", "/", new TreeSet<>(), "k", true, 2_000, 1, "p");
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        new TreeSet<>(),
+                        "k",
+                        true,
+                        2_000,
+                        1,
+                        "p",
+                        TARGET_MILLIS,
+                        new TreeMap<>());
         Pool pool = new Pool("p", "s", BalancePolicy.LEAST_LOADED, 9, 9, 0);
         Tables tables = Tables.of(List.of(new Rank("k", 0, 1, 0)), List.of(route), List.of(pool));
         return new Configuration(1, tables, Map.of(), ClientLimits.DEFAULT);
@@ -121,17 +138,41 @@
     }
 
     private void call() throws IOException {
-        try (Socket socket =
-                new Socket(InetAddress.getLoopbackAddress(), entryPort.address().getPort())) {
-            socket.setSoTimeout(10_000);
-            socket.getOutputStream()
-                    .write(
-                            "GET /x HTTP/1.1\r\nHost: h\r\nZinniaring-Call-Id: c1\r\n\r\n"
-                                    .getBytes(StandardCharsets.ISO_8859_1));
+        try (Socket socket = send("/x")) {
             assertThat(ScriptedServer.head(socket.getInputStream())).startsWith("HTTP/1.1 ");
         }
     }
 
+    private Socket send(String path) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), entryPort.address().getPort());
+        socket.setSoTimeout(10_000);
+        socket.getOutputStream()
+                .write(
+                        "GET %s HTTP/1.1\r\nHost: h\r\nZinniaring-Call-Id: c1\r\n\r\n"
+                                .formatted(path)
+                                .getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    /** Sends calls that the server does not answer and returns how many it got, once all ended. */
+    private int requestsAtOnce(int calls) throws IOException, InterruptedException {
+        int before = server.requests.size();
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            sockets.add(send("/hang"));
+        }
+        int refused = 0;
+        for (Socket socket : sockets) {
+            // A call that reached the server is not answered; its entry node ends it after 2 s.
+            String head = ScriptedServer.head(socket.getInputStream());
+            refused += head != null && head.startsWith("HTTP/1.1 503") ? 1 : 0;
+            socket.close();
+        }
+        int requests = server.requests.size() - before;
+        assertThat(requests + refused).isEqualTo(calls);
+        return requests;
+    }
+
     private static String limit(String perSecond) {
         return "Zinniaring-Server-Limit: " + perSecond + "\r\n";
     }
@@ -145,6 +186,23 @@
         assertThat(requestsOf(CALLS, limit("2"))).isBetween(1, 2);
     }
 
+    /** Calls that come together must not all be sent before the first answer. */
+    @Test
+    void callsThatComeTogetherAreHeldToTheLimitToo() throws Exception {
+        requestsOf(1, limit("2"));
+        clock.advance(Duration.ofSeconds(4));
+        assertThat(requestsAtOnce(CALLS)).isEqualTo(1);
+    }
+
+    /** A node that has been restarted has no answer of its server yet. */
+    @Test
+    void aServerIsHeldToItsLimitAfterTheRestartOfItsNode() throws Exception {
+        requestsOf(1, limit("2"));
+        clock.advance(Duration.ofSeconds(4));
+        ownerNode = newOwnerNode();
+        assertThat(requestsAtOnce(CALLS)).isLessThanOrEqualTo(1);
+    }
+
     /** A server that takes nothing is asked now and then, or nobody would learn of its recovery. */
     @Test
     void aServerThatTakesNothingIsTriedFromTimeToTime() throws Exception {
--- a/calls/src/test/java/dev/zinniaring/calls/SlotQueueTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/SlotQueueTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.function.IntToLongFunction;
 import org.junit.jupiter.api.Test;
 
 class SlotQueueTest {
@@ -105,4 +106,17 @@
         long lastDoneMillis = 240 + 480L * accepted / 15 + 480;
         assertThat(lastDoneMillis).isBetween(1_200L, 1_600L);
     }
+
+    /** A call that orders have pushed beyond its deadline must be refused before that deadline. */
+    @Test
+    void aCallThatMoreUrgentOnesDelayBeyondItsDeadlineIsRemovedAtOnce() {
+        IntToLongFunction tenPerSecond = ahead -> (ahead + 1) * 100 * NANOS_PER_MILLI;
+        queue.offer("lookup", profile(1, 50, 400, 400), 6, 0, 0, tenPerSecond);
+        for (int i = 0; i < 3; i++) {
+            assertThat(queue.removeDelayed(tenPerSecond, 0)).isEmpty();
+            queue.offer("order", profile(0, 50, 2_000, 2_000), 6, 0, 0, tenPerSecond);
+        }
+        assertThat(queue.removeDelayed(tenPerSecond, 0)).containsExactly("lookup");
+        assertThat(queue.size()).isEqualTo(3);
+    }
 }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
@@ -6,6 +6,7 @@
 import dev.zinniaring.calls.PooledHttpClient;
 import dev.zinniaring.calls.ResponseListener;
 import dev.zinniaring.calls.SendFailure;
+import dev.zinniaring.calls.ServerNotice;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -30,8 +31,8 @@
     private final InetSocketAddress address;
     private boolean sent;
 
-    /** A backend server that answered its health check. */
-    record IdentifiedServer(String serverId, int slots) {}
+    /** A backend server that answered its health check, and what it said about itself. */
+    record IdentifiedServer(String serverId, int slots, ServerNotice notice) {}
 
     ServerProbe(PooledHttpClient client, HeaderNames names, InetSocketAddress address) {
         this.client = client;
@@ -79,7 +80,9 @@
             if (answer.status() == OK && serverId != null) {
                 onIdentified.accept(
                         new IdentifiedServer(
-                                serverId, slots(answer.headers().get(names.load(), ""))));
+                                serverId,
+                                slots(answer.headers().get(names.load(), "")),
+                                ServerNotice.of(answer.headers(), names)));
             } else {
                 log.info(
                         "health check did not identify a backend server status={}",
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -321,6 +321,7 @@
         probe.check(
                 serverSettings().healthPath(),
                 identified -> {
+                    owner.serverAnswered(identified.serverId(), identified.notice());
                     if (serverTracker.setProbed(identified.serverId(), identified.slots())) {
                         log.info(
                                 "identified backend server by health check server={}",
