--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -320,6 +320,10 @@
         private void ended(OwnerResult result) {
             running.remove(this);
             calls.balancer().callEnded(server, route, clock.nanos() - sentNanos, result);
+            Answer answer = result.answer();
+            if (answer != null && ServerNotice.of(answer.headers(), calls.names()).leaving()) {
+                calls.balancer().recordLeaving(server);
+            }
             EntryCall.this.onResult(result);
         }
 
--- a/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
@@ -91,6 +91,7 @@
             if (tried.contains(server.serverId())
                     || (!sameZone && remote.count >= MAX_REMOTE_CANDIDATES)
                     || stats(server, nowNanos).inBackOff(route.route().name(), nowNanos)
+                    || stats(server, nowNanos).isLeaving(server, nowNanos)
                     || unreachable.test(server)) {
                 continue;
             }
@@ -143,6 +144,12 @@
         return stats(server, clock.nanos()).limitPerSecond();
     }
 
+    /** Records that a server said in an answer that it is leaving; it gets no further calls. */
+    void recordLeaving(EndpointRecord server) {
+        long nowNanos = clock.nanos();
+        stats(server, nowNanos).recordLeaving(server, nowNanos);
+    }
+
     /** Returns the time until the first of the servers leaves back-off for a route. */
     long backOffNanos(List<EndpointRecord> servers, CallRoute route) {
         long nowNanos = clock.nanos();
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -49,6 +50,7 @@
     private final LocalServerLimit limit;
     private final ServerAdmission<OwnerJob> admission;
     private Runnable misdirected = () -> {};
+    private Consumer<String> leavingListener = serverId -> {};
     private boolean awaitingLimit;
     private long downUntilNanos;
     private long backOffNanos = MIN_BACK_OFF_NANOS;
@@ -84,6 +86,11 @@
         misdirected = action;
     }
 
+    /** Sets the action that receives the id of a server that says in an answer that it leaves. */
+    public void onLeaving(Consumer<String> action) {
+        leavingListener = action;
+    }
+
     /** Refuses all waiting and all further calls with the given reason. */
     public void refuse(String reason) {
         refusalReason = reason;
@@ -106,7 +113,15 @@
     /** Records what the backend server said about itself in the answer to a health check. */
     public void serverAnswered(String serverId, ServerNotice notice) {
         limit.use(serverId);
+        observe(serverId, notice);
+    }
+
+    private void observe(String serverId, ServerNotice notice) {
         limit.answered(serverId, notice);
+        refuseDelayed();
+        if (notice.leaving()) {
+            leavingListener.accept(serverId);
+        }
     }
 
     /** Returns the current load of the backend server. */
@@ -291,8 +306,7 @@
                 dispatchWaiting();
                 return;
             }
-            limit.answered(server.serverId(), ServerNotice.of(answer.headers(), names));
-            refuseDelayed();
+            observe(server.serverId(), ServerNotice.of(answer.headers(), names));
             if (answer.headers().contains(names.notExecuted())) {
                 counters.increment("server_declined");
                 job.end(OwnerResult.declined("declined", load()));
--- a/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.model.EndpointRecord;
 import java.util.HashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
@@ -24,11 +25,19 @@
      */
     private static final long LIMIT_RETENTION_NANOS = 5_000_000_000L;
 
+    /**
+     * Longest time for which a server that said that it is leaving is excluded after its node was
+     * restarted; a server under its id that is still there is a new one.
+     */
+    private static final long LEAVING_RETENTION_NANOS = 60_000_000_000L;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private int outstanding;
     private double limitPerSecond = ServerRateLimit.NONE;
     private long limitWaitUntilNanos;
+    private @Nullable EndpointRecord leavingRecord;
+    private long leavingNanos;
     private double otherCallsAtReport;
     private long reportNanos;
     private double relativeRunTime = 1;
@@ -65,6 +74,30 @@
         }
     }
 
+    /**
+     * Records that the server said that it is leaving.
+     *
+     * @param record the server's record at that time
+     */
+    void recordLeaving(EndpointRecord record, long nowNanos) {
+        leavingRecord = record;
+        leavingNanos = nowNanos;
+    }
+
+    /**
+     * Returns whether the server said that it is leaving. Its node may not know after a restart; if
+     * the node has run on and announced the server again, it is a new one under the same id.
+     *
+     * @param record the server's present record
+     */
+    boolean isLeaving(EndpointRecord record, long nowNanos) {
+        EndpointRecord known = leavingRecord;
+        if (known == null || nowNanos - leavingNanos > LEAVING_RETENTION_NANOS) {
+            return false;
+        }
+        return record.incarnation() != known.incarnation() || record.sequence() <= known.sequence();
+    }
+
     /** Returns the request limit that the server was last known to name. */
     double limitPerSecond() {
         return limitPerSecond;
--- a/calls/src/test/java/dev/zinniaring/calls/LoadBalancerTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/LoadBalancerTest.java
@@ -143,4 +143,54 @@
         assertThat(balancer.select(List.of(busy), Set.of(), other, clock.nanos())).isNull();
         assertThat(select(busy)).isEqualTo("busy");
     }
+
+    private static EndpointRecord announced(long incarnation, long sequence) {
+        return new EndpointRecord(
+                "one",
+                "s",
+                "n-one",
+                "a",
+                "10.0.0.1:1",
+                incarnation,
+                sequence,
+                6,
+                100,
+                EndpointState.READY,
+                0);
+    }
+
+    /** A restarted node may not know that its server is leaving and announce it as ready. */
+    @Test
+    void aServerThatSaidThatItIsLeavingIsNotSelectedAfterTheRestartOfItsNode() {
+        balancer.recordLeaving(announced(1, 1));
+        assertThat(select(announced(1, 1))).isEqualTo("none");
+        assertThat(select(announced(2, 1))).isEqualTo("none");
+    }
+
+    /** Its node never announces a leaving server again, so this is another start of it. */
+    @Test
+    void aServerThatIsAnnouncedAgainByTheSameNodeIsSelected() {
+        balancer.recordLeaving(announced(1, 1));
+        assertThat(select(announced(1, 2))).isEqualTo("one");
+    }
+
+    /** Guards against the calls of all nodes going to a server that takes few of them. */
+    @Test
+    void aServerWithALowLimitIsPassedOverForABusyOneWithoutALimit() {
+        EndpointRecord limited = server("limited", "a");
+        EndpointRecord busy = server("busy", "a");
+        balancer.callStarted(limited);
+        balancer.callEnded(
+                limited,
+                ROUTE,
+                100 * NANOS_PER_MILLI,
+                OwnerResult.ran(Answer.of(200), new ServerLoad(0, 0, 6, 2, 500)));
+        balancer.callStarted(busy);
+        balancer.callEnded(
+                busy,
+                ROUTE,
+                100 * NANOS_PER_MILLI,
+                OwnerResult.ran(Answer.of(200), new ServerLoad(5, 0, 6)));
+        assertThat(select(limited, busy)).isEqualTo("busy");
+    }
 }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -249,6 +249,7 @@
     public void start() throws KernelException {
         startNanos = clock.nanos();
         owner.onMisdirected(this::onServerMisdirected);
+        owner.onLeaving(this::onServerLeaving);
         callListener.start(settings.calls());
         peerListener.start(settings.peerCalls());
         scheduler.execute(this::updateStoreWatch);
@@ -306,6 +307,13 @@
         scheduler.execute(this::probeServer);
     }
 
+    private void onServerLeaving(String serverId) {
+        Announcement known = serverTracker.latest();
+        if (known != null && known.serverId().equals(serverId)) {
+            applyChange(serverTracker.handleDeregistration(serverId, Optional.empty()), serverId);
+        }
+    }
+
     private void onConfigurationChanged() {
         gossip.push();
         probeServer();
@@ -321,13 +329,13 @@
         probe.check(
                 serverSettings().healthPath(),
                 identified -> {
-                    owner.serverAnswered(identified.serverId(), identified.notice());
                     if (serverTracker.setProbed(identified.serverId(), identified.slots())) {
                         log.info(
                                 "identified backend server by health check server={}",
                                 identified.serverId());
                         localRecord.publish();
                     }
+                    owner.serverAnswered(identified.serverId(), identified.notice());
                 });
     }
 
