Keep to named request limits on the product's own call path too

Change: RankedAdmission takes a rate limit beside its slots; queued calls get its tokens by rank, and a call that the limit delays beyond its deadline is shed at once.

--- a/admission/src/main/java/dev/zinniaring/admission/AdmissionController.java
+++ b/admission/src/main/java/dev/zinniaring/admission/AdmissionController.java
@@ -1,5 +1,7 @@
 package dev.zinniaring.admission;
 
+import dev.zinniaring.kernel.RateLimit;
+
 /**
  * Decides which calls a backend server runs, and when. Each backend server has its own instance.
  * Implementations are thread-safe.
@@ -34,6 +36,14 @@
      */
     void resize(int slots);
 
+    /**
+     * Sets the request rate that the backend server accepts, which it names in its answers. Ignored
+     * by controllers that serve as baselines.
+     *
+     * @param perSecond requests per second, at least 0, or {@link RateLimit#NONE}
+     */
+    default void limitRate(double perSecond) {}
+
     /** Sheds all queued and new calls from now on; running calls finish normally. */
     void drain();
 
--- a/admission/src/main/java/dev/zinniaring/admission/Dispatcher.java
+++ b/admission/src/main/java/dev/zinniaring/admission/Dispatcher.java
@@ -16,6 +16,9 @@
 
         boolean tryAcquire();
 
+        /** Returns the wait that the server's rate limit imposes, by the number of calls ahead. */
+        long rateWaitNanos(int ahead);
+
         /** Grants the slot just acquired to the call. */
         void grant(QueuedCall call);
 
@@ -188,10 +191,13 @@
     private long expectedWaitNanos(int rank) {
         long nextSlotNanos = times.meanNanos(rank) / decisions.limit();
         long aheadNanos = 0;
+        int ahead = 0;
         for (int index = 0; index <= rank; index++) {
             aheadNanos += queue.size(index) * times.meanNanos(index);
+            ahead += queue.size(index);
         }
-        long waitByUrgencyNanos = aheadNanos / decisions.limit();
+        long waitByUrgencyNanos =
+                Math.max(aheadNanos / decisions.limit(), decisions.rateWaitNanos(ahead));
         if (ranks.floorShare(rank) > 0) {
             double callsUntilFloor = Math.max(0, queue.size(rank) + 1 - credit.calls(rank));
             long waitByFloorNanos = (long) (callsUntilFloor * floorIntervalNanos(rank));
--- a/admission/src/main/java/dev/zinniaring/admission/RankedAdmission.java
+++ b/admission/src/main/java/dev/zinniaring/admission/RankedAdmission.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.admission;
 
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.RateLimit;
 import dev.zinniaring.model.Rank;
 import java.util.Collection;
 import java.util.List;
@@ -29,6 +30,7 @@
     private final Clock clock;
     private final RankTable ranks;
     private final SlotCounter slots;
+    private final RateLimit rate;
     private final GradientLimit limit;
     private final ServiceTimes times;
     private final ShedHistory shedHistory;
@@ -49,6 +51,7 @@
         this.connections = builder.connections;
         RankedAdmission predecessor = builder.predecessor;
         this.slots = predecessor == null ? new SlotCounter() : predecessor.slots;
+        this.rate = predecessor == null ? new RateLimit(clock) : predecessor.rate;
         long nowNanos = clock.nanos();
         this.limit = new GradientLimit(ranks.size(), usableSlots(builder.slots), nowNanos);
         this.times = new ServiceTimes(ranks.size());
@@ -78,7 +81,7 @@
             shed(callback, ShedReason.DEADLINE);
             return DECIDED_TICKET;
         }
-        if (waiting.get() == 0 && slots.tryAcquire(limit.value())) {
+        if (waiting.get() == 0 && tryAcquire()) {
             grant(rank, callback);
             return DECIDED_TICKET;
         }
@@ -126,6 +129,25 @@
                 draining.get());
     }
 
+    @Override
+    public void limitRate(double perSecond) {
+        if (rate.perSecond() != perSecond) {
+            rate.name(perSecond);
+            loop.run(dispatchStep);
+        }
+    }
+
+    private boolean tryAcquire() {
+        if (rate.waitNanos(0) > 0 || !slots.tryAcquire(limit.value())) {
+            return false;
+        }
+        if (rate.tryTake()) {
+            return true;
+        }
+        slots.release();
+        return false;
+    }
+
     private int usableSlots(int declaredSlots) {
         return Math.min(declaredSlots, connections);
     }
@@ -210,7 +232,12 @@
 
         @Override
         public boolean tryAcquire() {
-            return slots.tryAcquire(limit.value());
+            return RankedAdmission.this.tryAcquire();
+        }
+
+        @Override
+        public long rateWaitNanos(int ahead) {
+            return rate.waitNanos(ahead);
         }
 
         @Override
--- a/admission/src/test/java/dev/zinniaring/admission/RankedAdmissionTest.java
+++ b/admission/src/test/java/dev/zinniaring/admission/RankedAdmissionTest.java
@@ -193,6 +193,45 @@
         assertThatThrownBy(() -> builder().build().resize(slots)).hasMessage(message);
     }
 
+    /** A server that names a limit must not get more, and urgent calls must go first. */
+    @Test
+    void aServerThatNamesALimitGetsNoMoreThanThatMostUrgentFirst() {
+        RankedAdmission admission = builder().ranks(withoutFloors()).slots(10).build();
+        AdmissionProbe probe = new AdmissionProbe(admission);
+        admission.limitRate(10);
+        probe.admit("low", 9, FAR_DEADLINE_NANOS);
+        probe.admit("urgent", 0, FAR_DEADLINE_NANOS);
+        assertThat(probe.decisions).isEmpty();
+        clock.advance(Duration.ofMillis(100));
+        admission.expire();
+        assertThat(probe.decisions).containsExactly("urgent granted");
+        clock.advance(Duration.ofMillis(100));
+        admission.expire();
+        assertThat(probe.decisions).containsExactly("urgent granted", "low granted");
+    }
+
+    /** A call that the limit delays beyond its deadline must not wait for it. */
+    @Test
+    void aCallThatTheLimitOfTheServerDelaysBeyondItsDeadlineIsShedAtOnce() {
+        RankedAdmission admission = builder().slots(10).build();
+        AdmissionProbe probe = new AdmissionProbe(admission);
+        admission.limitRate(2);
+        probe.admit("first", 0, FAR_DEADLINE_NANOS);
+        probe.admit("late", 0, clock.nanos() + TimeUnit.MILLISECONDS.toNanos(900));
+        assertThat(probe.decisions).containsExactly("late DEADLINE");
+    }
+
+    /** A change of ranks replaces the controller of a server, whose limit still holds. */
+    @Test
+    void aLimitOutlivesTheReplacementOfItsController() {
+        RankedAdmission before = builder().slots(10).build();
+        before.limitRate(2);
+        RankedAdmission after = builder().slots(10).replacing(before).build();
+        AdmissionProbe probe = new AdmissionProbe(after);
+        probe.admit("call", 0, FAR_DEADLINE_NANOS);
+        assertThat(probe.decisions).isEmpty();
+    }
+
     private RankedAdmission.Builder builder() {
         return RankedAdmission.builder()
                 .clock(clock)
--- a/calls/src/main/java/dev/zinniaring/calls/LocalServerLimit.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LocalServerLimit.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.kernel.RateLimit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -11,7 +12,7 @@
     private static final Logger log = LoggerFactory.getLogger("server");
 
     private final CallCounters counters;
-    private final ServerRateLimit rate;
+    private final RateLimit rate;
     private String serverId = "";
     private boolean answered;
 
@@ -20,7 +21,7 @@
      *
      * @param rate receives each change
      */
-    LocalServerLimit(ServerRateLimit rate, CallCounters counters) {
+    LocalServerLimit(RateLimit rate, CallCounters counters) {
         this.rate = rate;
         this.counters = counters;
     }
@@ -28,7 +29,7 @@
     /** Sets the server to which requests are sent; what an earlier one named ends. */
     void use(String id) {
         if (!id.equals(serverId)) {
-            change(ServerRateLimit.NONE, "new-server");
+            change(RateLimit.NONE, "new-server");
             serverId = id;
             answered = false;
         }
@@ -44,12 +45,12 @@
             return;
         }
         answered = true;
-        change(notice.limitPerSecond().orElse(ServerRateLimit.NONE), "answer");
+        change(notice.limitPerSecond().orElse(RateLimit.NONE), "answer");
     }
 
     /** Records the limit that an entry node knows of; ignored once the server itself answered. */
     void reported(double perSecond) {
-        if (perSecond != ServerRateLimit.NONE && !answered && !rate.named()) {
+        if (perSecond != RateLimit.NONE && !answered && !rate.named()) {
             change(perSecond, "entry-node");
         }
     }
@@ -70,7 +71,7 @@
     }
 
     private static String text(double limitPerSecond) {
-        return limitPerSecond == ServerRateLimit.NONE ? "none" : String.valueOf(limitPerSecond);
+        return limitPerSecond == RateLimit.NONE ? "none" : String.valueOf(limitPerSecond);
     }
 
     /** Records that a request is sent to the server. */
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.calls;
 
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.RateLimit;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.concurrent.TimeUnit;
@@ -72,7 +73,7 @@
         this.clock = clock;
         this.counters = counters;
         this.servers = servers;
-        ServerRateLimit rate = new ServerRateLimit(clock);
+        RateLimit rate = new RateLimit(clock);
         this.limit = new LocalServerLimit(rate, counters);
         this.admission = new ServerAdmission<>(clock, rate);
         this.downUntilNanos = clock.nanos();
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.kernel.RateLimit;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 
@@ -14,7 +15,7 @@
     private final long deadlineNanos;
     private final long targetNanos;
     private final Consumer<OwnerResult> results;
-    private double knownLimitPerSecond = ServerRateLimit.NONE;
+    private double knownLimitPerSecond = RateLimit.NONE;
     private Runnable cancellation = () -> {};
     private IntConsumer probeFailureAction = failedProbes -> {};
     private boolean ended;
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.calls;
 
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.RateLimit;
 import dev.zinniaring.model.EndpointRecord;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -99,7 +100,7 @@
         headers.set(HopHeaders.ROUTE, job.routeName());
         headers.set(HopHeaders.ROUTE_TARGET, job.routeTargetMillis());
         headers.set(HopHeaders.TARGET, (job.targetNanos() - nowNanos) / 1_000_000L);
-        if (job.knownLimitPerSecond() != ServerRateLimit.NONE) {
+        if (job.knownLimitPerSecond() != RateLimit.NONE) {
             headers.set(HopHeaders.KNOWN_LIMIT, job.knownLimitPerSecond());
         }
         headers.set(HttpHeaderNames.CONNECTION, "keep-alive");
--- a/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.calls;
 
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.RateLimit;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 
@@ -14,14 +15,14 @@
  */
 final class ServerAdmission<T extends AdmissibleCall> {
     private final Clock clock;
-    private final ServerRateLimit limit;
+    private final RateLimit limit;
     private final SlotQueue<T> queue = new SlotQueue<>();
     private final SlotReservation reservation = new SlotReservation();
     private final RunTimes runTimes = new RunTimes();
     private int running;
     private long runningNanos;
 
-    ServerAdmission(Clock clock, ServerRateLimit limit) {
+    ServerAdmission(Clock clock, RateLimit limit) {
         this.clock = clock;
         this.limit = limit;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerLoad.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerLoad.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.kernel.RateLimit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -8,8 +9,7 @@
  * @param running number of running calls
  * @param waiting number of calls queued at the owner node
  * @param slots number of calls that the server runs concurrently
- * @param limitPerSecond requests per second that the server accepts, or {@link
- *     ServerRateLimit#NONE}
+ * @param limitPerSecond requests per second that the server accepts, or {@link RateLimit#NONE}
  * @param limitWaitMillis time until the limit allows a further call
  */
 record ServerLoad(
@@ -19,7 +19,7 @@
 
     /** Creates the load of a server that names no limit. */
     ServerLoad(int running, int waiting, int slots) {
-        this(running, waiting, slots, ServerRateLimit.NONE, 0);
+        this(running, waiting, slots, RateLimit.NONE, 0);
     }
 
     /**
@@ -28,7 +28,7 @@
      */
     String encode() {
         String load = running + "/" + waiting + "/" + slots;
-        return limitPerSecond == ServerRateLimit.NONE
+        return limitPerSecond == RateLimit.NONE
                 ? load
                 : load + "/" + limitPerSecond + "/" + limitWaitMillis;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerNotice.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerNotice.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.OptionalDouble;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What a backend server says about itself in the headers of an answer.
@@ -16,12 +17,14 @@
 
     /** Reads the headers of an answer. */
     public static ServerNotice of(HttpHeaders headers, HeaderNames names) {
-        String limit = headers.get(names.serverLimit());
+        return of(headers.get(names.serverLimit()), headers.get(names.serverLeaving()));
+    }
+
+    /** Reads the values of the headers, null if absent. */
+    public static ServerNotice of(@Nullable String limit, @Nullable String leaving) {
         OptionalDouble limitPerSecond = limit == null ? OptionalDouble.empty() : parseLimit(limit);
         return new ServerNotice(
-                limitPerSecond,
-                limit != null && limitPerSecond.isEmpty(),
-                "1".equals(headers.get(names.serverLeaving())));
+                limitPerSecond, limit != null && limitPerSecond.isEmpty(), "1".equals(leaving));
     }
 
     /** Parses a limit; returns empty unless it is a finite number of at least 0. */
--- a/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.kernel.RateLimit;
 import dev.zinniaring.model.EndpointRecord;
 import java.util.HashMap;
 import java.util.Map;
@@ -34,7 +35,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private int outstanding;
-    private double limitPerSecond = ServerRateLimit.NONE;
+    private double limitPerSecond = RateLimit.NONE;
     private long limitWaitUntilNanos;
     private @Nullable EndpointRecord leavingRecord;
     private long leavingNanos;
@@ -119,8 +120,7 @@
     }
 
     private boolean limitKnown(long nowNanos) {
-        return limitPerSecond != ServerRateLimit.NONE
-                && nowNanos - reportNanos < LIMIT_RETENTION_NANOS;
+        return limitPerSecond != RateLimit.NONE && nowNanos - reportNanos < LIMIT_RETENTION_NANOS;
     }
 
     /**
--- a/calls/src/test/java/dev/zinniaring/calls/LimitedServersLoadTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/LimitedServersLoadTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.zinniaring.kernel.ManualClock;
+import dev.zinniaring.kernel.RateLimit;
 import dev.zinniaring.model.EndpointRecord;
 import dev.zinniaring.model.EndpointState;
 import dev.zinniaring.model.Route;
@@ -140,7 +141,7 @@
     /** The node beside one server. */
     private final class Owner {
         private final EndpointRecord record;
-        private final ServerRateLimit limit = new ServerRateLimit(clock);
+        private final RateLimit limit = new RateLimit(clock);
         private final ServerAdmission<Call> admission = new ServerAdmission<>(clock, limit);
         private final List<Long> startsNanos = new ArrayList<>();
 
@@ -252,7 +253,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void demandAboveTheLimitsIsRefusedAtOnceAndLeastUrgentFirst(long seed) {
         random = new SplittableRandom(seed);
-        double[] limits = {26.2, 49.9, ServerRateLimit.NONE};
+        double[] limits = {26.2, 49.9, RateLimit.NONE};
         for (int i = 0; i < limits.length; i++) {
             owners.add(new Owner(i, limits[i]));
         }
--- a/calls/src/test/java/dev/zinniaring/calls/ServerRateLimitTest.java
+++ b/kernel/src/test/java/dev/zinniaring/kernel/RateLimitTest.java
@@ -1,8 +1,7 @@
-package dev.zinniaring.calls;
+package dev.zinniaring.kernel;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.zinniaring.kernel.ManualClock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -12,9 +11,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class ServerRateLimitTest {
+class RateLimitTest {
     private final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
-    private final ServerRateLimit limit = new ServerRateLimit(clock);
+    private final RateLimit limit = new RateLimit(clock);
 
     @Test
     void withoutALimitNothingIsHeldBack() {
--- a/node/src/main/java/dev/zinniaring/node/CallHeaders.java
+++ b/node/src/main/java/dev/zinniaring/node/CallHeaders.java
@@ -13,6 +13,8 @@
     static final String OWNER_HOP = "Zinniaring-Owner-Hop";
     static final String ATTEMPT = "Zinniaring-Attempt";
     static final String LOAD = "Zinniaring-Load";
+    static final String SERVER_LIMIT = "Zinniaring-Server-Limit";
+    static final String SERVER_LEAVING = "Zinniaring-Server-Leaving";
     static final String PRESSURE = "Zinniaring-Pressure";
     static final String OUTCOME = "Zinniaring-Outcome";
     static final String REASON = "Zinniaring-Reason";
--- a/node/src/main/java/dev/zinniaring/node/LocalDispatcher.java
+++ b/node/src/main/java/dev/zinniaring/node/LocalDispatcher.java
@@ -5,6 +5,7 @@
 import dev.zinniaring.admission.Fingerprints;
 import dev.zinniaring.admission.Permit;
 import dev.zinniaring.admission.RunOutcome;
+import dev.zinniaring.calls.ServerNotice;
 import dev.zinniaring.kernel.Clock;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -122,6 +123,11 @@
             }
             Response response = hopResponse.httpResponse();
             hopResponse.onEnd(end -> ended(end, response.code(), guarded));
+            servers.answered(
+                    server,
+                    ServerNotice.of(
+                            response.header(CallHeaders.SERVER_LIMIT),
+                            response.header(CallHeaders.SERVER_LEAVING)));
             check(call, hopResponse);
             return hopResponse;
         }
--- a/node/src/main/java/dev/zinniaring/node/LocalServers.java
+++ b/node/src/main/java/dev/zinniaring/node/LocalServers.java
@@ -2,8 +2,10 @@
 
 import dev.zinniaring.admission.AdmissionController;
 import dev.zinniaring.admission.CrashGuard;
+import dev.zinniaring.calls.ServerNotice;
 import dev.zinniaring.distribution.Endpoints;
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.RateLimit;
 import dev.zinniaring.model.EndpointState;
 import dev.zinniaring.model.Pool;
 import dev.zinniaring.model.Tables;
@@ -67,6 +69,13 @@
         endpoints.announce(record(serverId, announced));
     }
 
+    /** Applies the request limit that a backend server names in an answer. */
+    void answered(LocalServer server, ServerNotice notice) {
+        if (!notice.limitMalformed()) {
+            server.admission().limitRate(notice.limitPerSecond().orElse(RateLimit.NONE));
+        }
+    }
+
     private AdmissionController admission(@Nullable LocalServer before, Announcement announced) {
         if (before == null || replaced(before.announced(), announced)) {
             return create(announced, null);
