Take servers that leave by their answers out of use on the product's own path too

Cause: as for the users' path: a server that announces itself as ready while its answers say that it leaves kept its calls. Change: such an answer counts as the announcement that the server drains, until it is removed. Result: ServerLifecycleTest.aServerThatSaysInAnAnswerThatItIsLeavingGetsNoNewCalls; the tests of node run for this class pass.

--- a/node/src/main/java/dev/zinniaring/node/Announcement.java
+++ b/node/src/main/java/dev/zinniaring/node/Announcement.java
@@ -21,4 +21,9 @@
         int connections,
         int warmUpMillis,
         EndpointState state,
-        int load) {}
+        int load) {
+    /** Returns this announcement with another state. */
+    Announcement withState(EndpointState newState) {
+        return new Announcement(service, address, slots, connections, warmUpMillis, newState, load);
+    }
+}
--- a/node/src/main/java/dev/zinniaring/node/LocalServers.java
+++ b/node/src/main/java/dev/zinniaring/node/LocalServers.java
@@ -14,6 +14,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -31,6 +32,7 @@
     private final CrashGuard guard;
     private final Clock clock;
     private final Map<String, LocalServer> servers = new ConcurrentHashMap<>();
+    private final Set<String> leaving = ConcurrentHashMap.newKeySet();
     private Tables tables = Tables.EMPTY;
 
     LocalServers(Endpoints endpoints, AdmissionFactory admissions, CrashGuard guard, Clock clock) {
@@ -49,7 +51,11 @@
     }
 
     /** Adds a backend server, or updates it, from its announcement. */
-    synchronized void announce(String serverId, Announcement announced) {
+    synchronized void announce(String serverId, Announcement announcement) {
+        Announcement announced =
+                leaving.contains(serverId)
+                        ? announcement.withState(EndpointState.DRAINING)
+                        : announcement;
         LocalServer before = servers.get(serverId);
         AdmissionController admission = admission(before, announced);
         LocalServer now =
@@ -69,11 +75,18 @@
         endpoints.announce(record(serverId, announced));
     }
 
-    /** Applies the request limit that a backend server names in an answer. */
+    /**
+     * Applies what a backend server said about itself in an answer. That it is leaving holds until
+     * it is removed.
+     */
     void answered(LocalServer server, ServerNotice notice) {
         if (!notice.limitMalformed()) {
             server.admission().limitRate(notice.limitPerSecond().orElse(RateLimit.NONE));
         }
+        if (notice.leaving() && leaving.add(server.serverId())) {
+            log.info("backend server {} said that it is leaving", server.serverId());
+            announce(server.serverId(), server.announced());
+        }
     }
 
     private AdmissionController admission(@Nullable LocalServer before, Announcement announced) {
@@ -151,6 +164,7 @@
     /** Removes a backend server that leaves; calls that it already runs can finish. */
     synchronized boolean withdraw(String serverId) {
         LocalServer removed = servers.remove(serverId);
+        leaving.remove(serverId);
         if (removed == null) {
             return false;
         }
--- a/node/src/test/java/dev/zinniaring/node/ServerLifecycleTest.java
+++ b/node/src/test/java/dev/zinniaring/node/ServerLifecycleTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.zinniaring.calls.ServerNotice;
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.standins.BackendServer;
 import dev.zinniaring.standins.ServiceTime;
@@ -95,6 +96,23 @@
         assertThat(server.runs().total()).isEqualTo(1);
     }
 
+    /** A server may say that it is leaving in its answers only, and go on announcing itself. */
+    @Test
+    void aServerThatSaysInAnAnswerThatItIsLeavingGetsNoNewCalls() throws Exception {
+        BackendServer server = announced(owner, 0);
+        LocalServer known = owner.servers.find("s1");
+        assertThat(known).isNotNull();
+
+        owner.servers.answered(known, ServerNotice.of(null, "1"));
+        owner.servers.announce("s1", known.announced());
+
+        try (Response response = post(entry, "/write")) {
+            assertThat(response.code()).isEqualTo(503);
+            assertThat(response.header("Zinniaring-Outcome")).isEqualTo("not-run");
+        }
+        assertThat(server.runs().total()).isZero();
+    }
+
     @Test
     void removesAServerThatStopsAnnouncing() throws Exception {
         BackendServer server = announced(owner, 0);
