Log and count when the store is restored from a copy

Change: the store's client reads the era that the store names in all its answers and reports a new one before the answer that names it; the node logs it, counts it and shows it in its state. No decision uses it yet.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -101,6 +101,10 @@
     private final Executor parseExecutor;
     private final LocalRecordPublisher localRecord;
     private boolean nodesListed;
+
+    /** Era of the store's revisions, 0 until known. */
+    private long storeEra;
+
     private long sweeps;
     private long startNanos;
 
@@ -248,6 +252,7 @@
      */
     public void start() throws KernelException {
         startNanos = clock.nanos();
+        store.onEra(era -> onStoreEra(era, "store"));
         owner.onMisdirected(this::onServerMisdirected);
         owner.onLeaving(this::onServerLeaving);
         callListener.start(settings.calls());
@@ -296,6 +301,23 @@
         }
     }
 
+    private void onStoreEra(long newEra, String source) {
+        if (newEra <= storeEra) {
+            return;
+        }
+        long before = storeEra;
+        storeEra = newEra;
+        if (before > 0) {
+            counters.increment("store_restored");
+            log.warn(
+                    "store was restored from a copy era={} before={} from={} revision_before={}",
+                    newEra,
+                    before,
+                    source,
+                    directory.revision());
+        }
+    }
+
     private boolean storeFailing() {
         return configurationWatcher.failing();
     }
@@ -489,6 +511,7 @@
                 settings.nodeId(),
                 ready(),
                 activeConfiguration.number(),
+                storeEra,
                 directory.revision(),
                 freshness.ageMillis(),
                 String.valueOf(serverTracker.latest()),
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
@@ -9,6 +9,7 @@
  * @param nodeId name of the node
  * @param ready whether it accepts calls of clients
  * @param version number of the active configuration, 0 if none
+ * @param storeEra era of the store, which rises when it is restored from a copy; 0 until known
  * @param nodesRevision newest known revision of the nodes table, -1 if none
  * @param ageMillis time since the store confirmed the node's state
  * @param server latest announcement of its backend server, as text
@@ -21,6 +22,7 @@
         String nodeId,
         boolean ready,
         long version,
+        long storeEra,
         long nodesRevision,
         long ageMillis,
         String server,
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/FakeRowStore.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/FakeRowStore.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 
 /** An in-memory store of one table; feed requests stay pending until a test completes them. */
 final class FakeRowStore implements RowStore {
@@ -19,10 +20,16 @@
     final List<CompletableFuture<RowPage>> pendingFeeds = new ArrayList<>();
     final List<String> calls = new ArrayList<>();
     long revision = 1;
+    LongConsumer eraListener = era -> {};
     boolean down;
     boolean loseNextResponse;
     boolean dropHistory;
 
+    @Override
+    public void onEra(LongConsumer action) {
+        eraListener = action;
+    }
+
     @Override
     public CompletableFuture<RowPage> list(String table) {
         calls.add("list");
--- a/store/src/main/java/dev/zinniaring/store/RowStore.java
+++ b/store/src/main/java/dev/zinniaring/store/RowStore.java
@@ -2,11 +2,16 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 
 /**
  * Tables of rows with conditional writes and a change feed. Reads are linearizable. Calls do not
  * block; a future that fails does so with a {@link PlatformException}.
  *
+ * <p>The store may be restored from an older copy. It then has lost the changes made since, gives
+ * out their revisions again, and enters a new era. Revisions of different eras must not be
+ * compared.
+ *
  * <pre>{@code
  * store.list("nodes").thenCompose(page -> store.feed("nodes", page.revision(), wait));
  * }</pre>
@@ -15,6 +20,12 @@
     /** Revision that represents a row that does not exist. */
     long ABSENT = 0;
 
+    /**
+     * Sets the action that receives the store's era from the first response that names it, and from
+     * the first one of each later era. It runs before that response is delivered.
+     */
+    void onEra(LongConsumer action);
+
     /** Returns a consistent snapshot of all rows of a table. */
     CompletableFuture<RowPage> list(String table);
 
