List the tables again when the store was restored from a copy

Callers: a change of the configuration that the store had accepted could stay without effect in a zone until the next one (CONFIG). A reader asks the feed for what follows a revision; after a restore the same revisions are given out again, and once they exist the feed skips the changes below. 410 tells only while they don't. Change: the first answer of a new era makes the node drop its pending requests and list both tables.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -315,6 +315,8 @@
                     before,
                     source,
                     directory.revision());
+            configurationWatcher.listAgain();
+            nodesWatcher.listAgain();
         }
     }
 
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/TableWatcher.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/TableWatcher.java
@@ -84,9 +84,10 @@
         currentGeneration++;
     }
 
-    /** Abandons the pending request, whose connection may be dead, and sends a new one. */
-    void restart() {
+    /** Lists the table again, since the known revision has lost its meaning. */
+    void listAgain() {
         if (running) {
+            revision = -1;
             currentGeneration++;
             poll(currentGeneration);
         }
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/TableWatcherTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/TableWatcherTest.java
@@ -52,6 +52,18 @@
         assertThat(store.calls).containsExactly("list", "feed 1", "list", "feed 1");
     }
 
+    /** The response to a request with a revision of the earlier era must not be applied. */
+    @Test
+    void tableIsListedAgainAfterTheStoreWasRestored() {
+        watcher.start();
+        advance(200);
+        watcher.listAgain();
+        store.pendingFeeds.get(0).complete(new RowPage(List.of(), 9));
+        advance(200);
+        assertThat(store.calls).containsExactly("list", "feed 1", "list", "feed 1");
+        assertThat(pages).hasSize(2);
+    }
+
     /** Every failed request loads the store, so an outage must not cause a storm of retries. */
     @Test
     void retriesBackOffDuringAnOutageAndRecoverAfterIt() {
