Order lists of servers by the store's era before its revision

Callers: servers that joined after a restore could get few calls or none, since other nodes did not take the lists that named them. Evidence: without entering the era both new tests of ServerDirectoryTest fail; they and MessagesTest (messages of the earlier build too) pass.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Digest.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Digest.java
@@ -12,12 +12,16 @@
  * Summary of a node's state that peers exchange to find out which of them is behind.
  *
  * @param version number of the active configuration, 0 if none
+ * @param era era of the store in which {@code revision} was given out, 0 if unknown
  * @param revision newest known revision of the nodes table, -1 if none
  * @param ageMillis time since the store confirmed this state, directly or through other nodes
  * @param own the sender's own record, or empty before it has one
  */
-record Digest(long version, long revision, long ageMillis, List<EndpointRecord> own) {
-    private static final int FIELDS = 4;
+record Digest(long version, long era, long revision, long ageMillis, List<EndpointRecord> own) {
+    private static final int FIELDS = 5;
+
+    /** Digests of builds that do not know eras end after the records. */
+    private static final int FIELDS_WITHOUT_ERA = 4;
 
     byte[] encode() {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
@@ -26,6 +30,7 @@
             packer.packLong(revision);
             packer.packLong(ageMillis);
             RecordCodec.pack(packer, own);
+            packer.packLong(era);
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("failed to encode a digest", e);
@@ -34,14 +39,16 @@
 
     static Digest decode(byte[] bytes) throws SidecarException {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            if (unpacker.unpackArrayHeader() < FIELDS) {
+            int fields = unpacker.unpackArrayHeader();
+            if (fields < FIELDS_WITHOUT_ERA) {
                 throw new SidecarException("digest has too few fields");
             }
-            return new Digest(
-                    unpacker.unpackLong(),
-                    unpacker.unpackLong(),
-                    unpacker.unpackLong(),
-                    RecordCodec.unpack(unpacker));
+            long version = unpacker.unpackLong();
+            long revision = unpacker.unpackLong();
+            long ageMillis = unpacker.unpackLong();
+            List<EndpointRecord> own = RecordCodec.unpack(unpacker);
+            long era = fields < FIELDS ? 0 : unpacker.unpackLong();
+            return new Digest(version, era, revision, ageMillis, own);
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw new SidecarException("malformed digest", e);
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -75,6 +76,7 @@
     private final String ownAddress;
     private final String zone;
     private final Map<String, Long> failedNanos = new HashMap<>();
+    private LongConsumer eraListener = era -> {};
     private boolean behindOtherZone;
     private long behindSinceNanos;
     private boolean pullingConfiguration;
@@ -121,6 +123,11 @@
         this.zone = zone;
     }
 
+    /** Sets the action that receives the era of the store that a peer knows, if it is later. */
+    void onEra(LongConsumer action) {
+        eraListener = action;
+    }
+
     /** Returns whether this node is the one that watches the store for its zone. */
     boolean isReader() {
         EndpointRecord reader = reader();
@@ -242,8 +249,9 @@
         if (sameZone && theirs.ageMillis() > STALE_MILLIS) {
             failedNanos.put(address, clock.nanos());
         }
+        noteEra(theirs.era());
         boolean newerVersion = theirs.version() > activeConfiguration.number();
-        boolean newerServers = theirs.revision() > directory.revision();
+        boolean newerServers = comparable(theirs.era()) && theirs.revision() > directory.revision();
         if (!newerVersion && !newerServers) {
             behindOtherZone &= sameZone;
             if (theirs.version() == activeConfiguration.number()) {
@@ -262,6 +270,17 @@
         }
     }
 
+    private void noteEra(long era) {
+        if (era > directory.era()) {
+            eraListener.accept(era);
+        }
+    }
+
+    /** Nodes of builds that do not know eras, and those that know none yet, send 0. */
+    private boolean comparable(long era) {
+        return era == directory.era() || era == 0;
+    }
+
     private boolean behindLongEnough() {
         if (!behindOtherZone) {
             behindOtherZone = true;
@@ -322,6 +341,10 @@
     private void mergeServers(byte[] body, String address) {
         try {
             Snapshot snapshot = Snapshot.decode(body);
+            noteEra(snapshot.era());
+            if (!comparable(snapshot.era())) {
+                return;
+            }
             boolean newer = snapshot.revision() > directory.revision();
             directory.replaceStored(snapshot.records(), snapshot.revision());
             if (newer) {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
@@ -24,8 +24,29 @@
 
     private final AtomicReference<ServerList> snapshot = new AtomicReference<>(ServerList.EMPTY);
     private List<EndpointRecord> present = List.of();
+
+    /** Era of the store in which {@link #revision} was given out, 0 until known. */
+    private long era;
+
     private long revision = -1;
 
+    /**
+     * Enters an era of the store, whose revisions cannot be compared with those before. All known
+     * nodes stay, since the store may have lost their rows and the nodes write them again.
+     */
+    void enterEra(long newEra) {
+        if (era > 0) {
+            revision = -1;
+            storedNodes.clear();
+        }
+        era = newEra;
+    }
+
+    /** Returns the era of the store in which {@link #revision} was given out, 0 until known. */
+    long era() {
+        return era;
+    }
+
     /** Merges records that nodes reported about themselves. */
     void merge(Collection<EndpointRecord> records) {
         if (mergeAll(records)) {
@@ -100,7 +121,7 @@
         return now == null ? ServerList.EMPTY : now;
     }
 
-    /** Returns the newest table revision that has been applied, -1 if none. */
+    /** Returns the newest table revision of the era that has been applied, -1 if none. */
     long revision() {
         return revision;
     }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -102,9 +102,6 @@
     private final LocalRecordPublisher localRecord;
     private boolean nodesListed;
 
-    /** Era of the store's revisions, 0 until known. */
-    private long storeEra;
-
     private long sweeps;
     private long startNanos;
 
@@ -181,6 +178,7 @@
                         peerAddress(),
                         settings.zone());
         configurationWatcher.onFailure(gossip::push);
+        gossip.onEra(era -> onStoreEra(era, "peer"));
         activeConfiguration.onChange(() -> scheduler.execute(this::onConfigurationChanged));
         this.probe = new ServerProbe(client, names, settings.server());
         this.shutdown = new GracefulShutdown(settings, clock, scheduler, this::inFlight);
@@ -302,11 +300,12 @@
     }
 
     private void onStoreEra(long newEra, String source) {
-        if (newEra <= storeEra) {
+        long before = directory.era();
+        if (newEra <= before) {
             return;
         }
-        long before = storeEra;
-        storeEra = newEra;
+        long revisionBefore = directory.revision();
+        directory.enterEra(newEra);
         if (before > 0) {
             counters.increment("store_restored");
             log.warn(
@@ -314,9 +313,10 @@
                     newEra,
                     before,
                     source,
-                    directory.revision());
+                    revisionBefore);
             configurationWatcher.listAgain();
             nodesWatcher.listAgain();
+            gossip.push();
         }
     }
 
@@ -412,6 +412,7 @@
     private Digest digest() {
         return new Digest(
                 activeConfiguration.number(),
+                directory.era(),
                 directory.revision(),
                 storeFailing() ? Freshness.NEVER_MILLIS : freshness.ageMillis(),
                 localRecord.current());
@@ -513,7 +514,7 @@
                 settings.nodeId(),
                 ready(),
                 activeConfiguration.number(),
-                storeEra,
+                directory.era(),
                 directory.revision(),
                 freshness.ageMillis(),
                 String.valueOf(serverTracker.latest()),
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Snapshot.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Snapshot.java
@@ -11,14 +11,18 @@
 /**
  * A node's copy of the nodes table, as sent to a peer that is behind.
  *
+ * @param era era of the store in which {@code revision} was given out, 0 if unknown
  * @param revision newest revision of the table that the copy contains
  * @param records endpoint records of all known nodes
  */
-record Snapshot(long revision, List<EndpointRecord> records) {
-    private static final int FIELDS = 2;
+record Snapshot(long era, long revision, List<EndpointRecord> records) {
+    private static final int FIELDS = 3;
+
+    /** Snapshots of builds that do not know eras end after the records. */
+    private static final int FIELDS_WITHOUT_ERA = 2;
 
     static Snapshot of(ServerDirectory directory) {
-        return new Snapshot(directory.revision(), directory.records());
+        return new Snapshot(directory.era(), directory.revision(), directory.records());
     }
 
     byte[] encode() {
@@ -26,6 +30,7 @@
             packer.packArrayHeader(FIELDS);
             packer.packLong(revision);
             RecordCodec.pack(packer, records);
+            packer.packLong(era);
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("failed to encode a snapshot", e);
@@ -34,10 +39,14 @@
 
     static Snapshot decode(byte[] bytes) throws SidecarException {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            if (unpacker.unpackArrayHeader() < FIELDS) {
+            int fields = unpacker.unpackArrayHeader();
+            if (fields < FIELDS_WITHOUT_ERA) {
                 throw new SidecarException("snapshot has too few fields");
             }
-            return new Snapshot(unpacker.unpackLong(), RecordCodec.unpack(unpacker));
+            long revision = unpacker.unpackLong();
+            List<EndpointRecord> records = RecordCodec.unpack(unpacker);
+            long era = fields < FIELDS ? 0 : unpacker.unpackLong();
+            return new Snapshot(era, revision, records);
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw new SidecarException("malformed snapshot", e);
         }
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/MessagesTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/MessagesTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class MessagesTest {
     private static final List<EndpointRecord> RECORDS =
@@ -15,13 +17,30 @@
 
     @Test
     void encodedMessagesDecodeToEqualValues() throws SidecarException {
-        Digest digest = new Digest(7, 9, 120, RECORDS);
+        Digest digest = new Digest(7, 2, 9, 120, RECORDS);
         assertThat(Digest.decode(digest.encode())).isEqualTo(digest);
-        Snapshot snapshot = new Snapshot(9, RECORDS);
+        Snapshot snapshot = new Snapshot(2, 9, RECORDS);
         assertThat(Snapshot.decode(snapshot.encode())).isEqualTo(snapshot);
         assertThat(RecordCodec.decode(RecordCodec.encode(RECORDS))).isEqualTo(RECORDS);
     }
 
+    /** During an upgrade, nodes of a build that does not know eras send shorter messages. */
+    @Test
+    void messagesWithoutAnEraAreDecoded() throws Exception {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(4).packLong(7).packLong(9).packLong(120);
+            RecordCodec.pack(packer, RECORDS);
+            assertThat(Digest.decode(packer.toByteArray()))
+                    .isEqualTo(new Digest(7, 0, 9, 120, RECORDS));
+        }
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(2).packLong(9);
+            RecordCodec.pack(packer, RECORDS);
+            assertThat(Snapshot.decode(packer.toByteArray()))
+                    .isEqualTo(new Snapshot(0, 9, RECORDS));
+        }
+    }
+
     /** A row or body from a foreign writer must be rejected without crashing the node. */
     @Test
     void foreignBytesAreRejected() {
@@ -36,7 +55,7 @@
     @Test
     void corruptMessagesAreDecodedOrRejected() {
         SplittableRandom random = new SplittableRandom(7);
-        byte[] encoded = new Snapshot(9, RECORDS).encode();
+        byte[] encoded = new Snapshot(2, 9, RECORDS).encode();
         for (int i = 0; i < 2_000; i++) {
             byte[] corrupt = encoded.clone();
             corrupt[random.nextInt(corrupt.length)] = (byte) random.nextInt(256);
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/ServerDirectoryTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/ServerDirectoryTest.java
@@ -56,6 +56,27 @@
         assertThat(directory.revision()).isEqualTo(7);
     }
 
+    /** The store may be restored from a copy; its next list has a lower revision but is newer. */
+    @Test
+    void aTableOfALaterEraIsAppliedAlthoughItsRevisionIsLower() {
+        directory.enterEra(1);
+        directory.replaceStored(List.of(record("n1", "i1", "10.0.0.1:1", 1, 1)), 18);
+        directory.enterEra(2);
+        directory.replaceStored(List.of(record("n2", "i2", "10.0.0.2:1", 1, 1)), 15);
+        assertThat(servers()).contains("i2");
+        assertThat(directory.revision()).isEqualTo(15);
+    }
+
+    /** A node whose row the restore has lost still runs. */
+    @Test
+    void aNodeWhoseRowTheRestoreLostStaysInTheList() {
+        directory.enterEra(1);
+        directory.replaceStored(List.of(record("n1", "i1", "10.0.0.1:1", 1, 1)), 18);
+        directory.enterEra(2);
+        directory.replaceStored(List.of(), 20);
+        assertThat(servers()).containsExactly("i1");
+    }
+
     /** A peer with an older table must not bring removed nodes back. */
     @Test
     void olderTableIsIgnored() {
