Write a node's row again after the store was restored from a copy

Callers: a server whose node had written its row in the seconds that the restore lost was unknown to every node that started later. Change: in a new era each node writes its row again, spread over 10 ms for each known node; a write that was under way is repeated too.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/RecordWriter.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/RecordWriter.java
@@ -33,6 +33,7 @@
     private @Nullable EndpointRecord written;
     private long revision;
     private boolean writePending;
+    private boolean writeNeeded;
 
     RecordWriter(
             RowStore store, String table, String key, Scheduler scheduler, RandomGenerator random) {
@@ -54,16 +55,26 @@
         revision = Math.max(revision, rowRevision);
     }
 
+    /**
+     * Writes the record again, since the store was restored and may have lost it. The revision that
+     * is known may be out of date; a conflict then tells the present one.
+     */
+    void writeAgain() {
+        writeNeeded = true;
+        writeLatest();
+    }
+
     boolean isUpToDate() {
-        return !writePending && desired == written;
+        return !writePending && !writeNeeded && desired == written;
     }
 
     private void writeLatest() {
         EndpointRecord record = desired;
-        if (writePending || record == null || record == written) {
+        if (writePending || record == null || (record == written && !writeNeeded)) {
             return;
         }
         writePending = true;
+        writeNeeded = false;
         send(record)
                 .whenComplete(
                         (newRevision, failure) ->
@@ -88,6 +99,7 @@
             writeLatest();
             return;
         }
+        writeNeeded = true;
         Throwable cause = FutureFailures.unwrap(failure);
         if (cause instanceof RowConflictException conflict) {
             revision = conflict.revision();
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -65,6 +65,12 @@
     /** A node watches the store itself if its state has not been confirmed for this long. */
     private static final long STALE_MILLIS = 3_000;
 
+    /**
+     * Time over which nodes spread the writes of their rows after the store was restored, for each
+     * node: all rows are in one part of the table, which takes 200 writes a second.
+     */
+    private static final long REWRITE_MILLIS_PER_NODE = 10;
+
     private static final Duration SWEEP_PERIOD = Duration.ofMillis(100);
     private static final int SWEEPS_PER_PURGE = 100;
     private static final Duration GOSSIP_PERIOD = Duration.ofMillis(500);
@@ -317,6 +323,10 @@
             configurationWatcher.listAgain();
             nodesWatcher.listAgain();
             gossip.push();
+            long spreadMillis = (long) directory.records().size() * REWRITE_MILLIS_PER_NODE;
+            scheduler.after(
+                    Duration.ofMillis((long) (spreadMillis * random.nextDouble())),
+                    writer::writeAgain);
         }
     }
 
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/FakeRowStore.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/FakeRowStore.java
@@ -23,6 +23,8 @@
     LongConsumer eraListener = era -> {};
     boolean down;
     boolean loseNextResponse;
+    boolean holdNextResponse;
+    final List<CompletableFuture<Long>> heldResponses = new ArrayList<>();
     boolean dropHistory;
 
     @Override
@@ -67,6 +69,12 @@
         }
         revision++;
         rows.put(key, new RowPage.TableRow(key, revision, value, false));
+        if (holdNextResponse) {
+            holdNextResponse = false;
+            CompletableFuture<Long> held = new CompletableFuture<>();
+            heldResponses.add(held);
+            return held;
+        }
         if (loseNextResponse) {
             loseNextResponse = false;
             return CompletableFuture.failedFuture(new PlatformOutcomeUnknownException("lost"));
@@ -81,6 +89,16 @@
         return CompletableFuture.completedFuture(null);
     }
 
+    /** Restores the store from an older copy without rows. */
+    void loseRows() {
+        rows.clear();
+        revision = 1;
+    }
+
+    boolean contains(String key) {
+        return rows.containsKey(key);
+    }
+
     byte[] value(String key) {
         return rows.get(key).value();
     }
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/RecordWriterTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/RecordWriterTest.java
@@ -57,6 +57,29 @@
         assertThat(stored()).isEqualTo(SECOND);
     }
 
+    /** The store may lose an acknowledged row when it is restored from a copy. */
+    @Test
+    void aRecordThatTheStoreHasLostIsWrittenAgain() throws SidecarException {
+        writer.write(FIRST);
+        store.loseRows();
+        writer.writeAgain();
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(stored()).isEqualTo(FIRST);
+        assertThat(writer.isUpToDate()).isTrue();
+    }
+
+    /** The write may have been executed before the restore and its response arrive after it. */
+    @Test
+    void aWriteUnderWayDuringTheRestoreIsRepeated() {
+        store.holdNextResponse = true;
+        writer.write(FIRST);
+        store.loseRows();
+        writer.writeAgain();
+        store.heldResponses.forEach(response -> response.complete(2L));
+        scheduler.advance(Duration.ofSeconds(5));
+        assertThat(store.contains("n1")).isTrue();
+    }
+
     @Test
     void onlyTheLatestRecordIsWrittenAfterAnOutage() throws SidecarException {
         store.down = true;
