Keep nodes that have left out of use when a restored store brings their rows back

Callers: a call could be sent to a VM that was gone, and wait for a connection there. The node that had written and deleted it no longer runs, so nobody deletes it again. Change: each node remembers which incarnations have left, ignores their rows, and deletes them, on condition of the row's revision, when it lists the table.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,11 +18,17 @@
  * the event loop only; {@link #servers} returns an immutable snapshot to any thread.
  */
 final class ServerDirectory {
+    /** Nodes that have left and are remembered; a restored copy is some seconds old. */
+    private static final int MAX_DEPARTED = 4_096;
+
     private final Map<String, EndpointRecord> byNode = new HashMap<>();
 
     /** Nodes that have a row in the store's table, as far as known. */
     private final Set<String> storedNodes = new HashSet<>();
 
+    /** Incarnation of each node that has left, by node, the latest to leave last. */
+    private final Map<String, Long> departed = new LinkedHashMap<>();
+
     private final AtomicReference<ServerList> snapshot = new AtomicReference<>(ServerList.EMPTY);
     private List<EndpointRecord> present = List.of();
 
@@ -49,6 +56,11 @@
 
     /** Merges records that nodes reported about themselves. */
     void merge(Collection<EndpointRecord> records) {
+        for (EndpointRecord record : records) {
+            if (record.state() != EndpointState.GONE) {
+                departed.remove(record.nodeId());
+            }
+        }
         if (mergeAll(records)) {
             publish();
         }
@@ -64,6 +76,7 @@
     void mergeStored(
             Collection<EndpointRecord> records, Collection<String> gone, long tableRevision) {
         storedNodes.removeAll(gone);
+        gone.forEach(this::rememberDeparture);
         boolean changed = byNode.keySet().removeAll(gone);
         records.forEach(record -> storedNodes.add(record.nodeId()));
         changed |= mergeAll(records);
@@ -86,10 +99,31 @@
         mergeStored(records, gone, tableRevision);
     }
 
+    private void rememberDeparture(String nodeId) {
+        EndpointRecord known = byNode.get(nodeId);
+        if (known == null) {
+            return;
+        }
+        departed.remove(nodeId);
+        departed.put(nodeId, known.incarnation());
+        if (departed.size() > MAX_DEPARTED) {
+            departed.remove(departed.keySet().iterator().next());
+        }
+    }
+
+    /**
+     * Returns whether this incarnation of a node is known to have left. Its record may come back
+     * when the store is restored from a copy.
+     */
+    boolean hasLeft(EndpointRecord record) {
+        Long incarnation = departed.get(record.nodeId());
+        return incarnation != null && incarnation == record.incarnation();
+    }
+
     private boolean mergeAll(Collection<EndpointRecord> records) {
         boolean changed = false;
         for (EndpointRecord record : records) {
-            changed |= mergeOne(record);
+            changed |= !hasLeft(record) && mergeOne(record);
         }
         return changed;
     }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -19,6 +19,7 @@
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.store.FutureFailures;
 import dev.zinniaring.store.RowPage;
 import dev.zinniaring.store.RowStore;
 import io.netty.channel.EventLoop;
@@ -392,7 +393,11 @@
             if (row.deleted()) {
                 gone.add(row.key());
             } else {
-                records.addAll(decode(row));
+                List<EndpointRecord> decoded = decode(row);
+                records.addAll(decoded);
+                if (complete && decoded.stream().anyMatch(directory::hasLeft)) {
+                    deleteRow(row);
+                }
             }
         }
         if (complete) {
@@ -410,6 +415,21 @@
         }
     }
 
+    /** Deletes the row of a node that has left, which a restored store has brought back. */
+    private void deleteRow(RowPage.TableRow row) {
+        log.info("deleting row of a node that has left key={}", row.key());
+        store.delete(NODES_TABLE, row.key(), row.revision())
+                .whenComplete(
+                        (unused, failure) -> {
+                            if (failure != null) {
+                                log.info(
+                                        "failed to delete row key={} cause=\"{}\"",
+                                        row.key(),
+                                        String.valueOf(FutureFailures.unwrap(failure)));
+                            }
+                        });
+    }
+
     private static List<EndpointRecord> decode(RowPage.TableRow row) {
         try {
             return RecordCodec.decode(row.value());
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/ServerDirectoryTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/ServerDirectoryTest.java
@@ -77,6 +77,38 @@
         assertThat(servers()).containsExactly("i1");
     }
 
+    /** A restored store brings back the rows of nodes that had left. */
+    @Test
+    void aNodeThatHadLeftDoesNotReturnWithTheRestoredTable() {
+        EndpointRecord left = record("n1", "i1", "10.0.0.1:1", 1, 1);
+        directory.enterEra(1);
+        directory.mergeStored(List.of(left), List.of(), 5);
+        directory.mergeStored(List.of(), List.of("n1"), 18);
+        directory.enterEra(2);
+        directory.replaceStored(List.of(left), 15);
+        assertThat(directory.hasLeft(left)).isTrue();
+        assertThat(servers()).isEmpty();
+    }
+
+    /** A row may be missing although its node runs, which the node itself then tells. */
+    @Test
+    void aNodeThatReportsItselfIsListedAlthoughItsRowWasDeleted() {
+        EndpointRecord running = record("n1", "i1", "10.0.0.1:1", 1, 1);
+        directory.mergeStored(List.of(running), List.of(), 5);
+        directory.mergeStored(List.of(), List.of("n1"), 18);
+        directory.merge(List.of(running));
+        assertThat(servers()).containsExactly("i1");
+    }
+
+    /** The platform may start the node again under the same name. */
+    @Test
+    void aNodeThatStartsAgainAfterItLeftIsListed() {
+        directory.mergeStored(List.of(record("n1", "i1", "10.0.0.1:1", 1, 1)), List.of(), 5);
+        directory.mergeStored(List.of(), List.of("n1"), 18);
+        directory.mergeStored(List.of(record("n1", "i2", "10.0.0.1:1", 2, 1)), List.of(), 19);
+        assertThat(servers()).containsExactly("i2");
+    }
+
     /** A peer with an older table must not bring removed nodes back. */
     @Test
     void olderTableIsIgnored() {
