Notice on the product's own path too that the table service was restored

Change: getIfNewer becomes getIfChanged and returns a row whose revision differs; reads are linearizable, so a lower one can only come from a restore. Result: PlatformContract.aRowWithALowerRevisionThanTheKnownOneIsReturned, on memory and over HTTP; tests of store, publish, distribution and standins pass.

--- a/bench/src/main/java/dev/zinniaring/bench/ZonePlatform.java
+++ b/bench/src/main/java/dev/zinniaring/bench/ZonePlatform.java
@@ -47,9 +47,9 @@
         }
 
         @Override
-        public Optional<Row> getIfNewer(String key, long knownRevision) throws PlatformException {
+        public Optional<Row> getIfChanged(String key, long knownRevision) throws PlatformException {
             checkReachable();
-            return platform.tables().getIfNewer(key, knownRevision);
+            return platform.tables().getIfChanged(key, knownRevision);
         }
 
         @Override
--- a/distribution/src/main/java/dev/zinniaring/distribution/PlatformReader.java
+++ b/distribution/src/main/java/dev/zinniaring/distribution/PlatformReader.java
@@ -99,7 +99,7 @@
     }
 
     private void read(long revision) throws PublishException, DistributionException {
-        Optional<Head> newer = source.headIfNewer(revision);
+        Optional<Head> newer = source.headIfChanged(revision);
         if (newer.isEmpty()) {
             mailbox.post(() -> listener.onHead(knownNumber));
             return;
--- a/distribution/src/test/java/dev/zinniaring/distribution/SimPlatform.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimPlatform.java
@@ -85,7 +85,7 @@
         }
 
         @Override
-        public Optional<Head> headIfNewer(long knownRevision) throws PublishException {
+        public Optional<Head> headIfChanged(long knownRevision) throws PublishException {
             reach();
             return Optional.of(SimPlatform.this.head()).filter(h -> h.revision() > knownRevision);
         }
--- a/publish/src/main/java/dev/zinniaring/publish/PlatformVersionSource.java
+++ b/publish/src/main/java/dev/zinniaring/publish/PlatformVersionSource.java
@@ -53,9 +53,9 @@
     }
 
     @Override
-    public Optional<Head> headIfNewer(long knownRevision) throws PublishException {
+    public Optional<Head> headIfChanged(long knownRevision) throws PublishException {
         try {
-            Optional<Row> row = tables.getIfNewer(keys.head(), knownRevision);
+            Optional<Row> row = tables.getIfChanged(keys.head(), knownRevision);
             return row.isEmpty() ? Optional.empty() : Optional.of(head(row.get()));
         } catch (PlatformException e) {
             throw Failures.withoutEffect("head cannot be read", e);
--- a/publish/src/main/java/dev/zinniaring/publish/VersionSource.java
+++ b/publish/src/main/java/dev/zinniaring/publish/VersionSource.java
@@ -8,8 +8,8 @@
     /** Returns the head; its number is 0 if no version was ever published. */
     Head head() throws PublishException;
 
-    /** Returns the head if the revision of the head row is above {@code knownRevision}. */
-    Optional<Head> headIfNewer(long knownRevision) throws PublishException;
+    /** Returns the head if the revision of its row differs from {@code knownRevision}. */
+    Optional<Head> headIfChanged(long knownRevision) throws PublishException;
 
     /**
      * Returns the canonical bytes with the given hash, verified against it.
--- a/publish/src/test/java/dev/zinniaring/publish/DuplicateCommitTables.java
+++ b/publish/src/test/java/dev/zinniaring/publish/DuplicateCommitTables.java
@@ -18,8 +18,8 @@
     }
 
     @Override
-    public Optional<Row> getIfNewer(String key, long knownRevision) throws PlatformException {
-        return inner.getIfNewer(key, knownRevision);
+    public Optional<Row> getIfChanged(String key, long knownRevision) throws PlatformException {
+        return inner.getIfChanged(key, knownRevision);
     }
 
     @Override
--- a/publish/src/test/java/dev/zinniaring/publish/PublisherTest.java
+++ b/publish/src/test/java/dev/zinniaring/publish/PublisherTest.java
@@ -199,10 +199,10 @@
     @Test
     void theHeadIsReturnedAgainOnlyAfterAChange() throws PublishException {
         publisher.publish(tables("a"));
-        Head head = publisher.source().headIfNewer(0).orElseThrow();
-        assertThat(publisher.source().headIfNewer(head.revision())).isEmpty();
+        Head head = publisher.source().headIfChanged(0).orElseThrow();
+        assertThat(publisher.source().headIfChanged(head.revision())).isEmpty();
         publisher.publish(tables("b"));
-        assertThat(publisher.source().headIfNewer(head.revision()).orElseThrow().number())
+        assertThat(publisher.source().headIfChanged(head.revision()).orElseThrow().number())
                 .isEqualTo(2);
     }
 
--- a/standins/src/main/java/dev/zinniaring/standins/PlatformRoutes.java
+++ b/standins/src/main/java/dev/zinniaring/standins/PlatformRoutes.java
@@ -43,7 +43,7 @@
             return;
         }
         long knownRevision = revision(known);
-        Optional<Row> row = platform.tables().getIfNewer(key, knownRevision);
+        Optional<Row> row = platform.tables().getIfChanged(key, knownRevision);
         // A conditional read does not distinguish an absent row from an unchanged one.
         if (row.isEmpty()) {
             context.status(HttpStatus.NOT_MODIFIED);
--- a/standins/src/test/java/dev/zinniaring/standins/PlatformServerTest.java
+++ b/standins/src/test/java/dev/zinniaring/standins/PlatformServerTest.java
@@ -134,7 +134,7 @@
                                 .build());
         long before = sent.receivedBytes();
         long beforeOnServer = server.sentBytes();
-        assertThat(tables().getIfNewer("a", 1)).isEmpty();
+        assertThat(tables().getIfChanged("a", 1)).isEmpty();
         assertThat(sent.receivedBytes() - before).isBetween(10L, 100L);
         assertThat(server.sentBytes() - beforeOnServer).isBetween(10L, 100L);
     }
--- a/store/src/main/java/dev/zinniaring/store/HttpTableService.java
+++ b/store/src/main/java/dev/zinniaring/store/HttpTableService.java
@@ -37,15 +37,15 @@
     }
 
     @Override
-    public Optional<Row> getIfNewer(String key, long knownRevision) throws PlatformException {
+    public Optional<Row> getIfChanged(String key, long knownRevision) throws PlatformException {
         PlatformLimits.checkKey(key);
         Request request =
                 new Request.Builder()
                         .url(rowUrl(key))
                         .header("If-None-Match", PlatformWire.etag(knownRevision))
                         .build();
-        PlatformHttp.BufferedResponse response = http.send(RequestKind.GET_ROW_IF_NEWER, request);
-        return row(key, response).filter(row -> row.revision() > knownRevision);
+        PlatformHttp.BufferedResponse response = http.send(RequestKind.GET_ROW_IF_CHANGED, request);
+        return row(key, response).filter(row -> row.revision() != knownRevision);
     }
 
     @Override
--- a/store/src/main/java/dev/zinniaring/store/MemoryPlatform.java
+++ b/store/src/main/java/dev/zinniaring/store/MemoryPlatform.java
@@ -140,12 +140,12 @@
         }
 
         @Override
-        public Optional<Row> getIfNewer(String key, long knownRevision) throws PlatformException {
+        public Optional<Row> getIfChanged(String key, long knownRevision) throws PlatformException {
             PlatformLimits.checkKey(key);
             return run(
-                    RequestKind.GET_ROW_IF_NEWER,
+                    RequestKind.GET_ROW_IF_CHANGED,
                     key,
-                    () -> rows.get(key).filter(row -> row.revision() > knownRevision));
+                    () -> rows.get(key).filter(row -> row.revision() != knownRevision));
         }
 
         @Override
--- a/store/src/main/java/dev/zinniaring/store/RequestKind.java
+++ b/store/src/main/java/dev/zinniaring/store/RequestKind.java
@@ -4,8 +4,8 @@
 public enum RequestKind {
     /** Reads one row. */
     GET_ROW(false),
-    /** Reads one row if its revision is newer than a known one. */
-    GET_ROW_IF_NEWER(false),
+    /** Reads one row if its revision differs from a known one. */
+    GET_ROW_IF_CHANGED(false),
     /** Reads the rows whose keys start with a prefix. */
     SCAN_ROWS(false),
     /** Commits a transaction. */
--- a/store/src/main/java/dev/zinniaring/store/TableService.java
+++ b/store/src/main/java/dev/zinniaring/store/TableService.java
@@ -12,10 +12,11 @@
     Optional<Row> get(String key) throws PlatformException;
 
     /**
-     * Returns the row if its revision is above {@code knownRevision}, otherwise empty. Transfers
-     * only a few bytes when the row has not changed.
+     * Returns the row if its revision differs from {@code knownRevision}, otherwise empty. The
+     * revision is lower after the service was restored from a copy. Transfers only a few bytes when
+     * the row has not changed.
      */
-    Optional<Row> getIfNewer(String key, long knownRevision) throws PlatformException;
+    Optional<Row> getIfChanged(String key, long knownRevision) throws PlatformException;
 
     /** Returns the first {@code limit} rows whose keys start with {@code prefix}, sorted by key. */
     List<Row> scan(String prefix, int limit) throws PlatformException;
--- a/store/src/test/java/dev/zinniaring/store/PlatformContract.java
+++ b/store/src/test/java/dev/zinniaring/store/PlatformContract.java
@@ -27,7 +27,7 @@
     @Test
     public void readingAbsentRowsAndObjectsReturnsEmpty() throws PlatformException {
         assertThat(tables().get("mesh/m/head")).isEmpty();
-        assertThat(tables().getIfNewer("mesh/m/head", 0)).isEmpty();
+        assertThat(tables().getIfChanged("mesh/m/head", 0)).isEmpty();
         assertThat(tables().scan("mesh/", 10)).isEmpty();
         assertThat(objects().get("tables/none")).isEmpty();
     }
@@ -46,10 +46,17 @@
     @Test
     public void unchangedRowIsNotReturnedAgain() throws PlatformException {
         tables().commit(put("t1", "a/b c%2F?", "one"));
-        assertThat(tables().getIfNewer("a/b c%2F?", 0)).isPresent();
-        assertThat(tables().getIfNewer("a/b c%2F?", 1)).isEmpty();
+        assertThat(tables().getIfChanged("a/b c%2F?", 0)).isPresent();
+        assertThat(tables().getIfChanged("a/b c%2F?", 1)).isEmpty();
         tables().commit(put("t2", "a/b c%2F?", "two"));
-        assertThat(tables().getIfNewer("a/b c%2F?", 1).orElseThrow().revision()).isEqualTo(2);
+        assertThat(tables().getIfChanged("a/b c%2F?", 1).orElseThrow().revision()).isEqualTo(2);
+    }
+
+    /** A service that was restored from a copy gives out its revisions again. */
+    @Test
+    public void aRowWithALowerRevisionThanTheKnownOneIsReturned() throws PlatformException {
+        tables().commit(put("t1", "a", "one"));
+        assertThat(tables().getIfChanged("a", 18).orElseThrow().revision()).isEqualTo(1);
     }
 
     @Test
@@ -146,7 +153,7 @@
     @ParameterizedTest
     @EnumSource(
             value = RequestKind.class,
-            names = {"GET_ROW", "GET_ROW_IF_NEWER", "SCAN_ROWS", "GET_OBJECT"})
+            names = {"GET_ROW", "GET_ROW_IF_CHANGED", "SCAN_ROWS", "GET_OBJECT"})
     public void lostResponseToReadReportsUnavailable(RequestKind kind) {
         platform.faults().rule((k, key) -> Fault.LOST_AFTER_EFFECT);
         assertThatThrownBy(request(kind)).isInstanceOf(PlatformUnavailableException.class);
@@ -185,7 +192,7 @@
     private ThrowingCallable request(RequestKind kind) {
         return switch (kind) {
             case GET_ROW -> () -> tables().get("k");
-            case GET_ROW_IF_NEWER -> () -> tables().getIfNewer("k", 0);
+            case GET_ROW_IF_CHANGED -> () -> tables().getIfChanged("k", 0);
             case SCAN_ROWS -> () -> tables().scan("k", 1);
             case COMMIT -> () -> tables().commit(put("fault", "k", "v"));
             case GET_OBJECT -> () -> objects().get("k");
