Do not take a caller that waits longer than the idle time-out for one that left

Callers of the product's own path: 502 for a call that ran longer than idleMillis. Cause: while a call runs its connection is idle; Jetty's idle time-out failed the request, and with it the watch for callers that leave, and both cancelled the call. Change: once the request is read, an idle time-out neither fails it nor ends the watch.

--- a/node/src/main/java/dev/zinniaring/node/ClientDisconnectWatch.java
+++ b/node/src/main/java/dev/zinniaring/node/ClientDisconnectWatch.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadPendingException;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.EndPoint;
@@ -62,6 +63,12 @@
         }
     }
 
+    private synchronized void listenAgain() {
+        if (started && !ended) {
+            listen();
+        }
+    }
+
     /** Stops watching; returns whether the connection must be closed after the response. */
     synchronized boolean stop() {
         ended = true;
@@ -99,7 +106,13 @@
 
         @Override
         public void failed(Throwable cause) {
-            if (!stopped && cause != STOPPED) {
+            if (stopped || cause == STOPPED) {
+                return;
+            }
+            if (cause instanceof TimeoutException) {
+                // The connection is idle because its caller waits for the answer.
+                listenAgain();
+            } else {
                 cancellation.cancel();
             }
         }
--- a/node/src/main/java/dev/zinniaring/node/Exchange.java
+++ b/node/src/main/java/dev/zinniaring/node/Exchange.java
@@ -49,6 +49,8 @@
         this.startNanos = startNanos;
         this.watch = ClientDisconnectWatch.of(request, cancellation);
         request.addFailureListener(failure -> cancellation.cancel());
+        // Once the whole request is read, the connection is idle because its caller waits.
+        request.addIdleTimeoutListener(timeout -> !watchable);
     }
 
     String method() {
--- a/node/src/test/java/dev/zinniaring/node/ServerLifecycleTest.java
+++ b/node/src/test/java/dev/zinniaring/node/ServerLifecycleTest.java
@@ -96,6 +96,17 @@
         assertThat(server.runs().total()).isEqualTo(1);
     }
 
+    /** A caller that waits sends nothing, which is no sign that it has left. */
+    @Test
+    void aCallThatRunsLongerThanTheIdleTimeoutIsAnswered() throws Exception {
+        Limits limits = new Limits(100_000, 4_096, 20, 64, 32, 200, 1_024, 500, 1_000);
+        entry = mesh.node("impatient", limits);
+        announced(owner, 1_500_000);
+        try (Response response = post(entry, "/write")) {
+            assertThat(response.code()).isEqualTo(200);
+        }
+    }
+
     /** A server may say that it is leaving in its answers only, and go on announcing itself. */
     @Test
     void aServerThatSaysInAnAnswerThatItIsLeavingGetsNoNewCalls() throws Exception {
