Log the known limit and its age with each decision, and name back-off as a reason

And no line told which limit a refusal went by. Change: back-off is a reason of its own; lines of calls hold the request limit of the last server and its age; refused_REASON counts refusals. Result: tests of calls run for these classes pass; no decision changes.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -84,6 +84,9 @@
         }
         EndpointRecord chosen = selectServer();
         if (chosen == null) {
+            if (placements == 0 && !calls.servers().of(service).isEmpty()) {
+                lastReason = "back-off";
+            }
             failIfNoneRunning();
             return;
         }
@@ -199,6 +202,7 @@
             return;
         }
         calls.counters().increment("refused");
+        calls.counters().increment("refused_" + lastReason.replace('-', '_'));
         log("refused", lastReason);
         Answer refusal = refusal(SERVICE_UNAVAILABLE);
         long nowNanos = clock.nanos();
@@ -269,6 +273,8 @@
                         reason,
                         "server",
                         server == null ? "none" : server.serverId(),
+                        "limit",
+                        server == null ? "none" : calls.balancer().limitText(server),
                         "attempts",
                         attempts,
                         "placements",
--- a/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
@@ -144,6 +144,12 @@
         return stats(server, clock.nanos()).limitPerSecond();
     }
 
+    /** Returns the last known request limit of a server and its age, for the log. */
+    String limitText(EndpointRecord server) {
+        long nowNanos = clock.nanos();
+        return stats(server, nowNanos).limitText(nowNanos);
+    }
+
     /** Records that a server said in an answer that it is leaving; it gets no further calls. */
     void recordLeaving(EndpointRecord server) {
         long nowNanos = clock.nanos();
--- a/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
@@ -104,6 +104,13 @@
         return limitPerSecond;
     }
 
+    /** Returns the last known request limit and its age, such as {@code 26.4/s,120ms}. */
+    String limitText(long nowNanos) {
+        return limitPerSecond == RateLimit.NONE
+                ? "none"
+                : limitPerSecond + "/s," + (nowNanos - reportNanos) / 1_000_000L + "ms";
+    }
+
     /**
      * Returns the number of calls that the server can run at the same time: its slots, or fewer if
      * its request limit allows fewer calls of the given run time.
