--- a/soak/src/main/java/dev/zinniaring/soak/Fault.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Fault.java
@@ -22,6 +22,12 @@
         BiConsumer<Fleet, Integer> end) {
     private static final long DELAY_MILLIS = 120;
 
+    /** Kinds that a run draws in addition if asked to; seeds without them play as before. */
+    static final List<Fault> ADDED =
+            List.of(
+                    server("server-limited", ObservedServer.Fault.LIMITED),
+                    meshWide("store-restored", Fleet::copyStore, Fleet::restoreStore));
+
     /** All kinds that a run may draw. */
     static final List<Fault> ALL =
             List.of(
--- a/soak/src/main/java/dev/zinniaring/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/zinniaring/soak/FaultPlan.java
@@ -9,9 +9,13 @@
 final class FaultPlan {
     private static final int MIN_FAULTS = 3;
     private static final int MAX_FAULTS = 9;
+    private static final int MAX_ADDED_FAULTS = 4;
     private static final int MIN_DURATION_MILLIS = 200;
     private static final int MAX_DURATION_MILLIS = 5_000;
 
+    /** Longer than the time after which a limit of a server binds. */
+    private static final int MAX_ADDED_DURATION_MILLIS = 12_000;
+
     /** One in this many faults begins shortly after the previous one, at the same node. */
     private static final int CONSECUTIVE_ONE_IN = 4;
 
@@ -29,10 +33,26 @@
 
     /** Returns the faults, ordered by start time, all of which start within the given time. */
     static List<Entry> draw(SplittableRandom random, int nodes, long withinMillis) {
-        List<Entry> plan = new ArrayList<>();
         int count = random.nextInt(MIN_FAULTS, MAX_FAULTS + 1);
+        return draw(Fault.ALL, count, MAX_DURATION_MILLIS, random, nodes, withinMillis);
+    }
+
+    /** Returns one to four faults of the added kinds, as {@link #draw} does. */
+    static List<Entry> drawAdded(SplittableRandom random, int nodes, long withinMillis) {
+        int count = random.nextInt(1, MAX_ADDED_FAULTS + 1);
+        return draw(Fault.ADDED, count, MAX_ADDED_DURATION_MILLIS, random, nodes, withinMillis);
+    }
+
+    private static List<Entry> draw(
+            List<Fault> kinds,
+            int count,
+            int maxDurationMillis,
+            SplittableRandom random,
+            int nodes,
+            long withinMillis) {
+        List<Entry> plan = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            Fault fault = Fault.ALL.get(random.nextInt(Fault.ALL.size()));
+            Fault fault = kinds.get(random.nextInt(kinds.size()));
             int target = random.nextInt(nodes);
             long atMillis = random.nextLong(withinMillis);
             if (!plan.isEmpty() && random.nextInt(CONSECUTIVE_ONE_IN) == 0) {
@@ -40,7 +60,7 @@
                 target = previous.target();
                 atMillis = Math.min(withinMillis, previous.atMillis() + CONSECUTIVE_GAP_MILLIS);
             }
-            long durationMillis = random.nextInt(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS + 1);
+            long durationMillis = random.nextInt(MIN_DURATION_MILLIS, maxDurationMillis + 1);
             plan.add(new Entry(fault, target, atMillis, durationMillis));
         }
         plan.sort(Comparator.comparingLong(Entry::atMillis));
--- a/soak/src/main/java/dev/zinniaring/soak/Fleet.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Fleet.java
@@ -16,9 +16,11 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
 
 /** The nodes of a run as processes, each with a backend server and fault-injecting proxies. */
 final class Fleet implements AutoCloseable {
@@ -49,6 +51,8 @@
     private final Operator operator;
     private final Observations observations;
     private final List<Member> members = new ArrayList<>();
+    private final AtomicReference<RowStoreServer.@Nullable Copy> storeCopy =
+            new AtomicReference<>();
 
     /** Shutdown hook that kills the nodes if the run is interrupted. */
     private final Thread shutdownHook = new Thread(this::killProcesses);
@@ -190,6 +194,20 @@
         }
     }
 
+    /** Keeps a copy of the store for {@link #restoreStore}. */
+    void copyStore() {
+        storeCopy.set(store.copy());
+    }
+
+    /** Restores the store from the kept copy; the operator writes its latest version again. */
+    void restoreStore() {
+        RowStoreServer.Copy copy = storeCopy.getAndSet(null);
+        if (copy != null) {
+            store.restore(copy);
+            operator.writeAgain();
+        }
+    }
+
     RowStoreServer store() {
         return store;
     }
--- a/soak/src/main/java/dev/zinniaring/soak/InvariantChecker.java
+++ b/soak/src/main/java/dev/zinniaring/soak/InvariantChecker.java
@@ -3,6 +3,7 @@
 import dev.zinniaring.soak.Observations.Call;
 import dev.zinniaring.soak.Observations.Disturbance;
 import dev.zinniaring.soak.Observations.LeaveAck;
+import dev.zinniaring.soak.Observations.Limit;
 import dev.zinniaring.soak.Observations.Outcome;
 import dev.zinniaring.soak.Observations.Run;
 import dev.zinniaring.soak.Observations.Version;
@@ -42,6 +43,16 @@
     /** Beyond that number, at most one in this many runs of cancelled calls may end late. */
     private static final int MAX_ABANDONED_ONE_IN = 4;
 
+    /** A limit that a backend server names binds after this time. */
+    private static final long LIMIT_NOTICE_MILLIS = 3_000;
+
+    private static final long LIMIT_WINDOW_MILLIS = 4_000;
+
+    /** Factor by which, and number of requests by which, a window may exceed the limit. */
+    private static final double MAX_LIMIT_EXCESS = 1.5;
+
+    private static final int MAX_RUNS_BEYOND_LIMIT = 5;
+
     private static final int SUCCESS = 200;
     private static final int UNAVAILABLE = 503;
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, UNAVAILABLE);
@@ -69,6 +80,7 @@
         InvariantChecker checker = new InvariantChecker(observed);
         observed.calls().forEach(checker::checkCall);
         checker.checkLeaving();
+        checker.checkLimits();
         checker.checkAbandonedRuns();
         checker.violations.addAll(observed.findings());
         return checker.violations;
@@ -193,6 +205,30 @@
         }
     }
 
+    private void checkLimits() {
+        for (Limit limit : observed.limits()) {
+            List<Long> starts =
+                    observed.runs().stream()
+                            .filter(run -> run.serverId().equals(limit.serverId()))
+                            .map(Run::startMillis)
+                            .filter(at -> at >= limit.fromMillis() + LIMIT_NOTICE_MILLIS)
+                            .filter(at -> at <= limit.toMillis())
+                            .sorted()
+                            .toList();
+            double allowed =
+                    MAX_LIMIT_EXCESS * limit.perSecond() * LIMIT_WINDOW_MILLIS / 1_000
+                            + MAX_RUNS_BEYOND_LIMIT;
+            for (int i = (int) allowed; i < starts.size(); i++) {
+                if (starts.get(i) - starts.get(i - (int) allowed) <= LIMIT_WINDOW_MILLIS) {
+                    violations.add(
+                            "LIMIT: %s got more than %.0f requests in the 4 s before %d ms"
+                                    .formatted(limit.serverId(), allowed, starts.get(i)));
+                    break;
+                }
+            }
+        }
+    }
+
     private void checkAbandonedRuns() {
         int stoppedInTime = 0;
         List<String> late = new ArrayList<>();
--- a/soak/src/main/java/dev/zinniaring/soak/Observations.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Observations.java
@@ -87,6 +87,13 @@
     /** The acknowledgement by a node that a backend server is leaving. */
     record LeaveAck(String serverId, long atMillis) {}
 
+    /**
+     * A period in which a backend server named a limit in its answers.
+     *
+     * @param fromMillis time of the first answer that named it
+     */
+    record Limit(String serverId, double perSecond, long fromMillis, long toMillis) {}
+
     /** A configuration that the store accepted, with the service of {@link Route#MOVING}. */
     record Version(int number, String service, long atMillis) {}
 
@@ -105,6 +112,7 @@
     private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
     private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
     private final Queue<LeaveAck> leaveAcks = new ConcurrentLinkedQueue<>();
+    private final Queue<Limit> limits = new ConcurrentLinkedQueue<>();
     private final Queue<Version> versions = new ConcurrentLinkedQueue<>();
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
     private final Queue<String> findings = new ConcurrentLinkedQueue<>();
@@ -131,6 +139,10 @@
         leaveAcks.add(leaveAck);
     }
 
+    void add(Limit limit) {
+        limits.add(limit);
+    }
+
     void add(Version version) {
         versions.add(version);
     }
@@ -156,6 +168,10 @@
         return List.copyOf(leaveAcks);
     }
 
+    List<Limit> limits() {
+        return List.copyOf(limits);
+    }
+
     List<Version> versions() {
         return List.copyOf(versions);
     }
--- a/soak/src/main/java/dev/zinniaring/soak/ObservedServer.java
+++ b/soak/src/main/java/dev/zinniaring/soak/ObservedServer.java
@@ -39,7 +39,9 @@
         /** Answers half of the requests, chosen at random, with 500. */
         FAILING,
         /** Accepts requests and never answers them. */
-        SILENT
+        SILENT,
+        /** Names a limit of requests per second in its answers. */
+        LIMITED
     }
 
     private static final HeaderNames NAMES = PlatformHeaders.names();
@@ -55,6 +57,8 @@
 
     private static final long RESTART_DELAY_MILLIS = 1_000;
     private static final int SLOW_FACTOR = 4;
+    private static final double LIMIT_PER_SECOND = 2;
+    private static final long NOT_NAMED = -1;
     private static final MediaType JSON = MediaType.get("application/json");
 
     private final int index;
@@ -73,6 +77,7 @@
     private int incarnation;
     private long startedAtMillis;
     private long sequence;
+    private long limitNamedMillis = NOT_NAMED;
     private boolean leaving;
     private boolean leavingAcknowledged;
     private boolean down;
@@ -122,6 +127,7 @@
     void fault(Fault next) {
         loop.execute(
                 () -> {
+                    endLimit();
                     fault = next;
                     if (next == Fault.NONE) {
                         Set.copyOf(inProgress).stream()
@@ -165,7 +171,29 @@
         mode(LoopbackProxy.Mode.PASS);
     }
 
+    /** Ends the period in which this incarnation has named a limit, if it has. */
+    private void endLimit() {
+        if (limitNamedMillis != NOT_NAMED) {
+            observations.add(
+                    new Observations.Limit(
+                            id(), LIMIT_PER_SECOND, limitNamedMillis, observations.nowMillis()));
+            limitNamedMillis = NOT_NAMED;
+        }
+    }
+
+    private void addNotice(Answer answer) {
+        if (leaving) {
+            answer.headers().set(NAMES.serverLeaving(), "1");
+        }
+        if (fault == Fault.LIMITED) {
+            answer.headers().set(NAMES.serverLimit(), String.valueOf(LIMIT_PER_SECOND));
+            limitNamedMillis =
+                    limitNamedMillis == NOT_NAMED ? observations.nowMillis() : limitNamedMillis;
+        }
+    }
+
     private void shutDown() {
+        endLimit();
         down = true;
         Set.copyOf(inProgress).forEach(PendingRequest::end);
         mode(LoopbackProxy.Mode.RESET);
@@ -247,6 +275,7 @@
         if (exchange.path().equals("/health")) {
             Answer answer = Answer.of(leaving ? 503 : 200);
             answer.headers().set(NAMES.serverId(), id());
+            addNotice(answer);
             exchange.answer(answer);
             return;
         }
@@ -260,9 +289,10 @@
         }
     }
 
-    private static Answer notExecuted(int status) {
+    private Answer notExecuted(int status) {
         Answer answer = Answer.of(status);
         answer.headers().set(NAMES.notExecuted(), "1");
+        addNotice(answer);
         return answer;
     }
 
@@ -311,6 +341,7 @@
                     Answer.bytes(fails ? 500 : 200, run.callId().getBytes(StandardCharsets.UTF_8));
             answer.headers().set(NAMES.callId(), run.callId());
             answer.headers().set(NAMES.serverId(), run.serverId());
+            addNotice(answer);
             exchange.answer(answer);
         }
 
--- a/soak/src/main/java/dev/zinniaring/soak/Operator.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Operator.java
@@ -30,6 +30,7 @@
     private final RowStoreServer store;
     private final Observations observations;
     private int number;
+    private String latestRow = "";
 
     Operator(RowStoreServer store, Observations observations) {
         this.store = store;
@@ -63,10 +64,13 @@
                             Route.MAX_ATTEMPTS));
         }
         String document = DOCUMENT.formatted(number, resources);
-        store.write(
-                "op",
-                "config",
-                Base64.getEncoder().encodeToString(document.getBytes(StandardCharsets.UTF_8)));
+        latestRow = Base64.getEncoder().encodeToString(document.getBytes(StandardCharsets.UTF_8));
+        writeAgain();
         observations.add(new Observations.Version(number, movingService, observations.nowMillis()));
     }
+
+    /** Writes the latest version again, which a restored store may have lost. */
+    synchronized void writeAgain() {
+        store.write("op", "config", latestRow);
+    }
 }
--- a/soak/src/main/java/dev/zinniaring/soak/Soak.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Soak.java
@@ -5,6 +5,7 @@
 import dev.zinniaring.kernel.NamedThreads;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.SplittableRandom;
@@ -35,6 +36,7 @@
     private final long seed;
     private final int nodes;
     private final long faultsMillis;
+    private final boolean addedKinds;
     private final Path directory;
     private final Clock clock;
 
@@ -42,6 +44,7 @@
         seed = builder.seed;
         nodes = builder.nodes;
         faultsMillis = builder.faultsMillis;
+        addedKinds = builder.addedKinds;
         directory = builder.directory;
         clock = builder.clock;
     }
@@ -75,9 +78,14 @@
             Callers callers =
                     new Callers(fleet.callAddresses(), observations, timer, random.split());
             callers.start();
+            List<FaultPlan.Entry> plan =
+                    new ArrayList<>(FaultPlan.draw(planRandom, nodes, faultsMillis));
+            if (addedKinds) {
+                plan.addAll(FaultPlan.drawAdded(random.split(), nodes, faultsMillis));
+            }
             TimeUnit.MILLISECONDS.sleep(FAULT_FREE_START_MILLIS);
             long endMillis = FAULT_FREE_START_MILLIS;
-            for (FaultPlan.Entry entry : FaultPlan.draw(planRandom, nodes, faultsMillis)) {
+            for (FaultPlan.Entry entry : plan) {
                 schedule(entry, fleet, observations, timer);
                 endMillis = Math.max(endMillis, entry.atMillis() + entry.durationMillis());
             }
@@ -166,6 +174,7 @@
         private long seed = 1;
         private int nodes = 6;
         private long faultsMillis = 15_000;
+        private boolean addedKinds;
         private Clock clock = Clock.system();
 
         private Builder(Path directory) {
@@ -190,6 +199,12 @@
             return this;
         }
 
+        /** Sets whether limits of servers and restores of the store are drawn too. */
+        Builder addedKinds(boolean value) {
+            addedKinds = value;
+            return this;
+        }
+
         /** Sets the clock. */
         Builder clock(Clock source) {
             clock = source;
--- a/soak/src/main/java/dev/zinniaring/soak/SoakMain.java
+++ b/soak/src/main/java/dev/zinniaring/soak/SoakMain.java
@@ -36,6 +36,11 @@
             usage = "directory for settings and logs of the nodes")
     private Path directory = Path.of("target", "soak");
 
+    @Option(
+            name = "--added-kinds",
+            usage = "also draw limits of servers and restores of the store from each seed")
+    private boolean addedKinds;
+
     @Option(name = "--help", usage = "print this help", help = true)
     private boolean help;
 
@@ -97,6 +102,7 @@
                         .seed(seed)
                         .nodes(nodes)
                         .faultsMillis(seconds * 1_000L)
+                        .addedKinds(addedKinds)
                         .build()
                         .run();
         StringBuilder report = new StringBuilder();
--- a/soak/src/test/java/dev/zinniaring/soak/InvariantCheckerTest.java
+++ b/soak/src/test/java/dev/zinniaring/soak/InvariantCheckerTest.java
@@ -82,6 +82,25 @@
         assertViolated("TWICE");
     }
 
+    private void requestsUnderALimit(int count, int apartMillis) {
+        observations.add(new Observations.Limit("s1", 2, SENT_MILLIS, SENT_MILLIS + 20_000));
+        for (int i = 0; i < count; i++) {
+            run("s1", "shelf", SENT_MILLIS + 3_000 + (long) i * apartMillis);
+        }
+    }
+
+    @Test
+    void moreRequestsThanALimitAllowsAreReported() {
+        requestsUnderALimit(18, 200);
+        assertViolated("LIMIT");
+    }
+
+    @Test
+    void asManyRequestsAsALimitAllowsViolateNoInvariant() {
+        requestsUnderALimit(34, 500);
+        assertNoViolation();
+    }
+
     @Test
     void aRejectedCallThatRanIsReported() {
         call(Route.ORDER, 503, Outcome.ANSWERED);
--- a/soak/src/test/java/dev/zinniaring/soak/SoakTest.java
+++ b/soak/src/test/java/dev/zinniaring/soak/SoakTest.java
@@ -7,6 +7,22 @@
 
 /** Executes a short soak run against real processes. */
 class SoakTest {
+    /** Guards against servers that get more than their limit, and a store restored from a copy. */
+    @Test
+    void aShortRunWithLimitsAndRestoresViolatesNoInvariant() throws Exception {
+        Path directory = Path.of(System.getProperty("java.io.tmpdir"), "zinniaring-soak-added");
+        Soak.Result result =
+                Soak.builder(directory)
+                        .seed(2)
+                        .nodes(4)
+                        .faultsMillis(6_000)
+                        .addedKinds(true)
+                        .build()
+                        .run();
+        assertThat(result.violations()).isEmpty();
+        assertThat(result.served()).isGreaterThan(result.calls() / 2);
+    }
+
     /** Guards against a change that violates an invariant under faults, seen only in long runs. */
     @Test
     void aShortRunViolatesNoInvariant() throws Exception {
