Split the nodes table and the store's era off from Sidecar

Change: NodesTable applies rows and deletes those of departed nodes; StoreEraMonitor follows the era and repairs after a restore.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -19,7 +19,6 @@
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import dev.zinniaring.model.EndpointRecord;
-import dev.zinniaring.store.FutureFailures;
 import dev.zinniaring.store.RowPage;
 import dev.zinniaring.store.RowStore;
 import io.netty.channel.EventLoop;
@@ -27,7 +26,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -43,9 +41,6 @@
  * documents are parsed on another thread.
  */
 public final class Sidecar {
-    /** Store table with one row per node. */
-    static final String NODES_TABLE = "zinniaring-nodes";
-
     private static final Logger log = LoggerFactory.getLogger("node");
 
     /**
@@ -66,12 +61,6 @@
     /** A node watches the store itself if its state has not been confirmed for this long. */
     private static final long STALE_MILLIS = 3_000;
 
-    /**
-     * Time over which nodes spread the writes of their rows after the store was restored, for each
-     * node: all rows are in one part of the table, which takes 200 writes a second.
-     */
-    private static final long REWRITE_MILLIS_PER_NODE = 10;
-
     private static final Duration SWEEP_PERIOD = Duration.ofMillis(100);
     private static final int SWEEPS_PER_PURGE = 100;
     private static final Duration GOSSIP_PERIOD = Duration.ofMillis(500);
@@ -107,6 +96,7 @@
     private final GracefulShutdown shutdown;
     private final Executor parseExecutor;
     private final LocalRecordPublisher localRecord;
+    private final NodesTable nodesTable;
     private boolean nodesListed;
 
     private long sweeps;
@@ -168,9 +158,10 @@
                         CONFIGURATION_POLL_DELAY,
                         this::onConfigurationRows);
         this.nodesWatcher =
-                watcher(NODES_TABLE, NODES_POLL_TIMEOUT, NODES_POLL_DELAY, this::onNodeRows);
+                watcher(NodesTable.NAME, NODES_POLL_TIMEOUT, NODES_POLL_DELAY, this::onNodeRows);
         this.freshness = new Freshness(clock);
-        this.writer = new RecordWriter(store, NODES_TABLE, settings.nodeId(), scheduler, random);
+        this.writer =
+                new RecordWriter(store, NodesTable.NAME, settings.nodeId(), scheduler, random);
         this.gossip =
                 new PeerGossip(
                         client,
@@ -185,7 +176,6 @@
                         peerAddress(),
                         settings.zone());
         configurationWatcher.onFailure(gossip::push);
-        gossip.onEra(era -> onStoreEra(era, "peer"));
         activeConfiguration.onChange(() -> scheduler.execute(this::onConfigurationChanged));
         this.probe = new ServerProbe(client, names, settings.server());
         this.shutdown = new GracefulShutdown(settings, clock, scheduler, this::inFlight);
@@ -197,6 +187,12 @@
                         this::serverSettings,
                         shutdown::started,
                         this::publishRecord);
+        this.nodesTable = nodesTable();
+    }
+
+    private NodesTable nodesTable() {
+        return new NodesTable(
+                store, settings.nodeId(), directory, writer, localRecord, gossip::isReader);
     }
 
     private EntryCalls entryCalls(HeaderNames names) {
@@ -257,7 +253,7 @@
      */
     public void start() throws KernelException {
         startNanos = clock.nanos();
-        store.onEra(era -> onStoreEra(era, "store"));
+        followStoreEra();
         owner.onMisdirected(this::onServerMisdirected);
         owner.onLeaving(this::onServerLeaving);
         callListener.start(settings.calls());
@@ -273,6 +269,20 @@
                 settings.server());
     }
 
+    private void followStoreEra() {
+        StoreEraMonitor monitor =
+                new StoreEraMonitor(
+                        directory,
+                        List.of(configurationWatcher, nodesWatcher),
+                        gossip,
+                        writer,
+                        scheduler,
+                        random,
+                        counters);
+        store.onEra(era -> monitor.onEra(era, "store"));
+        gossip.onEra(era -> monitor.onEra(era, "peer"));
+    }
+
     /** Returns the address for the calls of clients; available after {@link #start}. */
     public InetSocketAddress callAddress() {
         return callListener.address();
@@ -306,31 +316,6 @@
         }
     }
 
-    private void onStoreEra(long newEra, String source) {
-        long before = directory.era();
-        if (newEra <= before) {
-            return;
-        }
-        long revisionBefore = directory.revision();
-        directory.enterEra(newEra);
-        if (before > 0) {
-            counters.increment("store_restored");
-            log.warn(
-                    "store was restored from a copy era={} before={} from={} revision_before={}",
-                    newEra,
-                    before,
-                    source,
-                    revisionBefore);
-            configurationWatcher.listAgain();
-            nodesWatcher.listAgain();
-            gossip.push();
-            long spreadMillis = (long) directory.records().size() * REWRITE_MILLIS_PER_NODE;
-            scheduler.after(
-                    Duration.ofMillis((long) (spreadMillis * random.nextDouble())),
-                    writer::writeAgain);
-        }
-    }
-
     private boolean storeFailing() {
         return configurationWatcher.failing();
     }
@@ -384,63 +369,15 @@
     }
 
     private void onNodeRows(RowPage page, boolean complete) {
-        List<EndpointRecord> records = new ArrayList<>();
-        List<String> gone = new ArrayList<>();
-        for (RowPage.TableRow row : page.rows()) {
-            if (row.key().equals(settings.nodeId())) {
-                writer.observeRevision(row.revision());
-            }
-            if (row.deleted()) {
-                gone.add(row.key());
-            } else {
-                List<EndpointRecord> decoded = decode(row);
-                records.addAll(decoded);
-                if (complete
-                        && gossip.isReader()
-                        && decoded.stream().anyMatch(directory::hasLeft)) {
-                    deleteRow(row);
-                }
-            }
-        }
-        if (complete) {
-            directory.replaceStored(records, page.revision());
-        } else {
-            directory.mergeStored(records, gone, page.revision());
-        }
-        if (localRecord.restoreLeaving(records)) {
+        if (nodesTable.apply(page, complete)) {
             owner.refuseWaiting("leaving");
         }
-        localRecord.raiseIncarnation(records);
         nodesListed = true;
         if (!page.rows().isEmpty()) {
             gossip.push();
         }
     }
 
-    /** Deletes the row of a node that has left, which a restored store has brought back. */
-    private void deleteRow(RowPage.TableRow row) {
-        log.info("deleting row of a node that has left key={}", row.key());
-        store.delete(NODES_TABLE, row.key(), row.revision())
-                .whenComplete(
-                        (unused, failure) -> {
-                            if (failure != null) {
-                                log.info(
-                                        "failed to delete row key={} cause=\"{}\"",
-                                        row.key(),
-                                        String.valueOf(FutureFailures.unwrap(failure)));
-                            }
-                        });
-    }
-
-    private static List<EndpointRecord> decode(RowPage.TableRow row) {
-        try {
-            return RecordCodec.decode(row.value());
-        } catch (SidecarException e) {
-            log.warn("rejected malformed row key={} cause=\"{}\"", row.key(), e.getMessage());
-            return List.of();
-        }
-    }
-
     private Digest digest() {
         return new Digest(
                 activeConfiguration.number(),
