Number changes above the versions that a restored platform has lost

Cause: the publisher numbers by the head on the platform alone. Change: zinniarctl asks the nodes of its settings for the highest version that they serve, warns if the platform has less, and publishes above it, unchanged tables too. The history passes over the missing numbers. Evidence: CtlTest.aChangeGetsANumberAboveThoseThatThePlatformHasLost failed before (no warning, and no new version for the same tables).

--- a/ctl/src/main/java/dev/zinniaring/ctl/ApplyCommand.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/ApplyCommand.java
@@ -30,7 +30,8 @@
         TablesDiff diff = TablesDiff.between(currentTables(publisher, base, console), tables);
         ObjectNode json = Console.object();
         json.set("changes", diff.toJson());
-        if (base > 0 && diff.isEmpty()) {
+        boolean lostVersions = lostVersions(dependencies, base, console);
+        if (base > 0 && diff.isEmpty() && !lostVersions) {
             json.put("accepted", false).put("number", base);
             follow(dependencies, base, json, console);
             console.result("no changes; version " + base + " has these tables", json);
--- a/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
@@ -36,6 +36,19 @@
         return number;
     }
 
+    /** Returns whether nodes serve a later version than the platform has, and warns if so. */
+    static boolean lostVersions(Dependencies dependencies, long base, Console console)
+            throws CtlException {
+        long held = dependencies.get().nodes().highestVersion();
+        if (held <= base) {
+            return false;
+        }
+        console.progress(
+                "warning: nodes serve version %d, but the platform's latest is %d: it has lost versions"
+                        .formatted(held, base));
+        return true;
+    }
+
     /** Reports an accepted version, and waits for the nodes if {@code --wait} is given. */
     final void accepted(
             Dependencies dependencies,
--- a/ctl/src/main/java/dev/zinniaring/ctl/CtlModule.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/CtlModule.java
@@ -44,10 +44,12 @@
             Console console,
             TableService tables,
             ObjectStore objects,
+            NodeAdmin nodes,
             Clock clock) {
         return Publisher.builder(settings.mesh(), tables, objects)
                 .author(settings.author())
                 .clock(clock)
+                .highestHeld(nodes::highestVersion)
                 .beforeCommit(token -> console.progress("publishing with token " + token))
                 .build();
     }
--- a/ctl/src/main/java/dev/zinniaring/ctl/NodeAdmin.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/NodeAdmin.java
@@ -79,6 +79,11 @@
         return List.copyOf(byNode.values());
     }
 
+    /** Returns the highest version that the known nodes serve, 0 if none can be reached. */
+    long highestVersion() {
+        return query(known, this::status).stream().mapToLong(NodeStatus::version).max().orElse(0);
+    }
+
     /** Returns the state dumps of nodes by address; for an unreachable node, an error object. */
     Map<String, JsonNode> states(Collection<String> addresses) {
         Map<String, JsonNode> states = new TreeMap<>();
--- a/ctl/src/main/java/dev/zinniaring/ctl/RollbackCommand.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/RollbackCommand.java
@@ -13,6 +13,7 @@
     void run(Dependencies dependencies, Console console) throws CtlException, PublishException {
         Publisher publisher = dependencies.get().publisher();
         long base = base(publisher);
+        lostVersions(dependencies, base, console);
         accepted(
                 dependencies,
                 publisher.rollback(number, base),
--- a/publish/src/main/java/dev/zinniaring/publish/Publisher.java
+++ b/publish/src/main/java/dev/zinniaring/publish/Publisher.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -32,6 +33,12 @@
  * all three cases nothing was changed.
  */
 public final class Publisher {
+    /**
+     * Largest number of versions that a restore of the platform is taken to have lost; a node that
+     * claims to be further ahead is ignored.
+     */
+    private static final long MAX_LOST_VERSIONS = 10_000;
+
     private final MeshKeys keys;
     private final TableService tables;
     private final ObjectStore objects;
@@ -42,6 +49,7 @@
     private final DeltaWriter deltas;
     private final PlatformVersionSource source;
     private final Consumer<String> beforeCommit;
+    private final LongSupplier highestHeld;
 
     private Publisher(Builder builder) {
         this.keys = new MeshKeys(builder.mesh);
@@ -50,6 +58,7 @@
         this.clock = builder.clock;
         this.author = builder.author;
         this.beforeCommit = builder.beforeCommit;
+        this.highestHeld = builder.highestHeld;
         this.tokens = new TokenSource(builder.random);
         this.tokenRows = new TokenRows(keys, tables, tokens);
         this.source = new PlatformVersionSource(builder.mesh, tables, objects, builder.random);
@@ -122,7 +131,7 @@
     private VersionEntry commit(Head base, String hash) throws PublishException {
         VersionEntry entry =
                 new VersionEntry(
-                        base.number() + 1, hash, author, clock.now().toEpochMilli(), tokens.next());
+                        nextNumber(base), hash, author, clock.now().toEpochMilli(), tokens.next());
         beforeCommit.accept(entry.token());
         try {
             if (tables.commit(transaction(base, entry))) {
@@ -136,6 +145,16 @@
         return resolveRefusal(base, entry);
     }
 
+    /**
+     * Returns a number above that of the head and above those that nodes hold. Nodes hold higher
+     * ones if the platform was restored from a copy; they would ignore a number given out again.
+     */
+    private long nextNumber(Head base) {
+        long held = highestHeld.getAsLong();
+        boolean lost = held > base.number() && held - base.number() <= MAX_LOST_VERSIONS;
+        return (lost ? held : base.number()) + 1;
+    }
+
     private Transaction transaction(Head base, VersionEntry entry) {
         byte[] row = RowCodec.encode(entry);
         return Transaction.withToken(entry.token())
@@ -238,7 +257,10 @@
         return commit(base, old.hash());
     }
 
-    /** Returns up to {@code limit} accepted versions, latest first. */
+    /**
+     * Returns up to {@code limit} accepted versions, latest first. Numbers are missing where the
+     * platform was restored from a copy.
+     */
     public List<VersionEntry> history(int limit) throws PublishException {
         if (limit < 1) {
             throw new IllegalArgumentException("limit must be at least 1, was " + limit);
@@ -246,7 +268,7 @@
         List<VersionEntry> history = new ArrayList<>();
         long latest = source.head().number();
         for (long number = latest; number >= 1 && history.size() < limit; number--) {
-            history.add(entry(number));
+            source.entry(number).ifPresent(history::add);
         }
         return history;
     }
@@ -278,6 +300,7 @@
         private String author = "unknown";
         private RandomGenerator random = new SecureRandom();
         private Consumer<String> beforeCommit = token -> {};
+        private LongSupplier highestHeld = () -> 0;
 
         private Builder(String mesh, TableService tables, ObjectStore objects) {
             this.mesh = mesh;
@@ -315,6 +338,12 @@
             return this;
         }
 
+        /** Sets the supplier of the highest version number that nodes hold, 0 if unknown. */
+        public Builder highestHeld(LongSupplier highestHeld) {
+            this.highestHeld = highestHeld;
+            return this;
+        }
+
         /**
          * Creates the publisher.
          *
