Name the methods of RateLimit and LocalServerLimit by what they do

Change: name becomes set, named becomes isSet, use becomes setServer; found on reading the diff as a newcomer. No behaviour changes. Result: the tests of these classes pass.

--- a/admission/src/main/java/dev/zinniaring/admission/RankedAdmission.java
+++ b/admission/src/main/java/dev/zinniaring/admission/RankedAdmission.java
@@ -132,7 +132,7 @@
     @Override
     public void limitRate(double perSecond) {
         if (rate.perSecond() != perSecond) {
-            rate.name(perSecond);
+            rate.set(perSecond);
             loop.run(dispatchStep);
         }
     }
--- a/calls/src/main/java/dev/zinniaring/calls/LocalServerLimit.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LocalServerLimit.java
@@ -27,7 +27,7 @@
     }
 
     /** Sets the server to which requests are sent; what an earlier one named ends. */
-    void use(String id) {
+    void setServer(String id) {
         if (!id.equals(serverId)) {
             change(RateLimit.NONE, "new-server");
             serverId = id;
@@ -50,7 +50,7 @@
 
     /** Records the limit that an entry node knows of; ignored once the server itself answered. */
     void reported(double perSecond) {
-        if (perSecond != RateLimit.NONE && !answered && !rate.named()) {
+        if (perSecond != RateLimit.NONE && !answered && !rate.isSet()) {
             change(perSecond, "entry-node");
         }
     }
@@ -67,7 +67,7 @@
                 text(perSecond),
                 text(before),
                 source);
-        rate.name(perSecond);
+        rate.set(perSecond);
     }
 
     private static String text(double limitPerSecond) {
@@ -76,7 +76,7 @@
 
     /** Records that a request is sent to the server. */
     void sent() {
-        if (rate.named()) {
+        if (rate.isSet()) {
             counters.increment("server_requests_under_limit");
         }
     }
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -113,7 +113,7 @@
 
     /** Records what the backend server said about itself in the answer to a health check. */
     public void serverAnswered(String serverId, ServerNotice notice) {
-        limit.use(serverId);
+        limit.setServer(serverId);
         observe(serverId, notice);
     }
 
@@ -149,7 +149,7 @@
             job.end(OwnerResult.notRun(refusal == null ? "no-server" : refusal, load()));
             return;
         }
-        limit.use(server.serverId());
+        limit.setServer(server.serverId());
         limit.reported(job.knownLimitPerSecond());
         ServerAdmission.Offer<OwnerJob> offer = admission.offer(job, slots(server));
         SlotQueue.Entry<OwnerJob> entry = offer.entry();
--- a/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
@@ -55,7 +55,7 @@
         long nowNanos = clock.nanos();
         boolean urgent = reservation.isUrgent(call.rankOrder(), call.routeTargetMillis(), nowNanos);
         int usableSlots = urgent ? slots : reservation.nonUrgentSlots(slots);
-        boolean first = queue.size() == 0 || (urgent && !limit.named());
+        boolean first = queue.size() == 0 || (urgent && !limit.isSet());
         if (running < usableSlots && first && limit.waitNanos(0) == 0) {
             return new Offer<>(Verdict.START, null);
         }
@@ -102,7 +102,7 @@
      * which can be the case after a more urgent call has arrived or the limit has fallen.
      */
     List<T> removeDelayed() {
-        return limit.named() ? queue.removeDelayed(limit::waitNanos, clock.nanos()) : List.of();
+        return limit.isSet() ? queue.removeDelayed(limit::waitNanos, clock.nanos()) : List.of();
     }
 
     /** Removes and returns all waiting calls. */
--- a/calls/src/test/java/dev/zinniaring/calls/LimitedServersLoadTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/LimitedServersLoadTest.java
@@ -159,7 +159,7 @@
                             100,
                             EndpointState.READY,
                             0);
-            limit.name(perSecond);
+            limit.set(perSecond);
         }
 
         void accept(Call call) {
--- a/kernel/src/main/java/dev/zinniaring/kernel/RateLimit.java
+++ b/kernel/src/main/java/dev/zinniaring/kernel/RateLimit.java
@@ -10,7 +10,7 @@
  * requests are not held back. Thread-safe.
  *
  * <pre>{@code
- * limit.name(26.4);
+ * limit.set(26.4);
  * if (limit.waitNanos(0) == 0) { limit.take(); send(request); }
  * }</pre>
  */
@@ -70,7 +70,7 @@
      *
      * @param limitPerSecond requests per second, at least 0, or {@link #NONE}
      */
-    public void name(double limitPerSecond) {
+    public void set(double limitPerSecond) {
         long nowNanos = clock.nanos();
         bucket.updateAndGet(
                 known ->
@@ -89,13 +89,13 @@
     }
 
     /** Returns whether the server names a limit. */
-    public boolean named() {
+    public boolean isSet() {
         return perSecond() != NONE;
     }
 
     /** Records that a request is sent. */
     public void take() {
-        if (named()) {
+        if (isSet()) {
             long nowNanos = clock.nanos();
             bucket.updateAndGet(
                     known -> known.perSecond() == NONE ? known : known.at(nowNanos).less(1));
--- a/kernel/src/test/java/dev/zinniaring/kernel/RateLimitTest.java
+++ b/kernel/src/test/java/dev/zinniaring/kernel/RateLimitTest.java
@@ -29,7 +29,7 @@
         Duration span = Duration.ofSeconds(4);
         Deque<Long> sent = new ArrayDeque<>();
         int most = 0;
-        limit.name(perSecond);
+        limit.set(perSecond);
         for (int arrival = 0; arrival < 20_000; arrival++) {
             clock.advance(Duration.ofNanos(random.nextLong(1, 2_000_000)));
             if (limit.tryTake()) {
@@ -46,7 +46,7 @@
 
     @Test
     void theWaitGrowsWithTheCallsAhead() {
-        limit.name(10);
+        limit.set(10);
         assertThat(limit.waitNanos(0)).isEqualTo(Duration.ofMillis(100).toNanos());
         assertThat(limit.waitNanos(4)).isEqualTo(Duration.ofMillis(500).toNanos());
         clock.advance(Duration.ofMillis(100));
@@ -56,9 +56,9 @@
     /** A burst saved up under a high limit must not reach a server that takes less now. */
     @Test
     void aLowerLimitAppliesToWhatWasSavedUp() {
-        limit.name(400);
+        limit.set(400);
         clock.advance(Duration.ofSeconds(1));
-        limit.name(2);
+        limit.set(2);
         assertThat(limit.tryTake()).isTrue();
         assertThat(limit.tryTake()).isFalse();
     }
