--- a/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
+++ b/ctl/src/main/java/dev/zinniaring/ctl/ChangeCommand.java
@@ -44,7 +44,8 @@
             return false;
         }
         console.progress(
-                "warning: nodes serve version %d, but the platform's latest is %d: it has lost versions"
+                ("warning: nodes serve version %d, but the platform's latest is %d:"
+                                + " it has lost versions")
                         .formatted(held, base));
         return true;
     }
