Look up a server's statistics once for back-off and leaving

Cause: the check for leaving servers added a second hash look-up for each server weighed for each call; found on the last read of the diff. Change: ServerStats.isAvoided answers both. No behaviour changes.

--- a/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
@@ -90,8 +90,7 @@
             boolean sameZone = server.zone().equals(zone);
             if (tried.contains(server.serverId())
                     || (!sameZone && remote.count >= MAX_REMOTE_CANDIDATES)
-                    || stats(server, nowNanos).inBackOff(route.route().name(), nowNanos)
-                    || stats(server, nowNanos).isLeaving(server, nowNanos)
+                    || stats(server, nowNanos).isAvoided(server, route.route().name(), nowNanos)
                     || unreachable.test(server)) {
                 continue;
             }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerStats.java
@@ -91,7 +91,7 @@
      *
      * @param record the server's present record
      */
-    boolean isLeaving(EndpointRecord record, long nowNanos) {
+    private boolean isLeaving(EndpointRecord record, long nowNanos) {
         EndpointRecord known = leavingRecord;
         if (known == null || nowNanos - leavingNanos > LEAVING_RETENTION_NANOS) {
             return false;
@@ -157,9 +157,9 @@
         routeBackOffUntilNanos.put(route, nowNanos + nanos);
     }
 
-    /** Returns whether the server is in back-off for a route. */
-    boolean inBackOff(String route, long nowNanos) {
-        return backOffNanos(route, nowNanos) > 0;
+    /** Returns whether the server gets no calls of a route: it is in back-off or leaving. */
+    boolean isAvoided(EndpointRecord record, String route, long nowNanos) {
+        return backOffNanos(route, nowNanos) > 0 || isLeaving(record, nowNanos);
     }
 
     /** Returns the remaining back-off for a route. */
