Decode each row of the nodes table once

Cause: a complete list was decoded a second time to find rows of departed nodes, which also logged a malformed row twice; found on the last read of the diff. Change: one pass decodes, collects and deletes. Rows are checked against the departures known before the page, as before.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/NodesTable.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/NodesTable.java
@@ -56,6 +56,7 @@
     boolean apply(RowPage page, boolean complete) {
         List<EndpointRecord> records = new ArrayList<>();
         List<String> gone = new ArrayList<>();
+        boolean deletesDeparted = complete && reader.getAsBoolean();
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(nodeId)) {
                 writer.observeRevision(row.revision());
@@ -63,11 +64,14 @@
             if (row.deleted()) {
                 gone.add(row.key());
             } else {
-                records.addAll(decode(row));
+                List<EndpointRecord> decoded = decode(row);
+                records.addAll(decoded);
+                if (deletesDeparted && decoded.stream().anyMatch(directory::hasLeft)) {
+                    delete(row);
+                }
             }
         }
         if (complete) {
-            deleteDeparted(page.rows());
             directory.replaceStored(records, page.revision());
         } else {
             directory.mergeStored(records, gone, page.revision());
@@ -86,18 +90,7 @@
         }
     }
 
-    /** Deletes the rows of nodes that have left, which a restored store has brought back. */
-    private void deleteDeparted(List<RowPage.TableRow> rows) {
-        if (!reader.getAsBoolean()) {
-            return;
-        }
-        for (RowPage.TableRow row : rows) {
-            if (!row.deleted() && decode(row).stream().anyMatch(directory::hasLeft)) {
-                delete(row);
-            }
-        }
-    }
-
+    /** Deletes the row of a node that has left, which a restored store has brought back. */
     private void delete(RowPage.TableRow row) {
         log.info("deleting row of a node that has left key={}", row.key());
         store.delete(NAME, row.key(), row.revision())
