--- a/review/harness/BurstOfBodies.java
+++ b/review/harness/BurstOfBodies.java
@@ -8,12 +8,12 @@
  * them comes. Are the requests that the node has read still answered?
  */
 final class BurstOfBodies extends Case {
-    /** Size of the bodies: a sixty-fourth of {@code max_body_bytes}. */
-    private static final int BODY_BYTES = Integer.getInteger("kilobytes", 1_024) << 10;
+    /** Size of the bodies, 1.25 MB: a fiftieth of {@code max_body_bytes}. */
+    private static final int BODY_BYTES = 1_280 << 10;
 
-    /** Clients that send such a body each second, and those that come on top: 2.5 times as many. */
-    private static final int USUAL_CLIENTS = Integer.getInteger("usual", 16);
-    private static final int BURST_CLIENTS = Integer.getInteger("burst", 24);
+    /** Clients that send such a body each second, and those that come on top: 2.56 times as many in all. */
+    private static final int USUAL_CLIENTS = 16;
+    private static final int BURST_CLIENTS = 25;
     private static final int BURST_MILLIS = 5_500;
     private static final int SMALL_CLIENTS = 6;
 
@@ -99,7 +99,12 @@
         for (Node node : nodes) {
             Http.Message answer = null;
             while (System.currentTimeMillis() - acknowledged < 8_000) {
-                answer = Http.once(node.calls(), head("POST", "/nova22/2f", "eeee" + System.nanoTime(), 1_000), new byte[10], 3_000);
+                try {
+                    answer = Http.once(node.calls(), head("POST", "/nova22/2f", "eeee" + System.nanoTime(), 1_000),
+                            new byte[10], 3_000);
+                } catch (IOException e) {
+                    record.line("request to %s long after the burst: %s", node.name, e);
+                }
                 if (answer != null && answer.status() != 404) {
                     break;
                 }
--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -74,7 +74,7 @@
         servers.add(server);
         Node added = new Node(node, zone, server.service, server.address(), store.address(), temporary);
         nodes.add(added);
-        added.start();
+        added.startFirst();
         beside.put(server, added);
         Thread beats = new Thread(() -> beat(server, added, zone));
         beats.setDaemon(true);
@@ -94,10 +94,13 @@
         beside.remove(server);
     }
 
-    boolean awaitAllReady() throws InterruptedException {
+    boolean awaitAllReady() throws Exception {
         for (Node node : nodes) {
             if (!node.awaitReady(30)) {
-                record.line("%s is not ready", node.name);
+                record.line("%s is not ready: process alive %s", node.name, node.alive());
+                for (String line : node.logLines("")) {
+                    record.line("its log: %s", line);
+                }
                 return false;
             }
         }
--- a/review/harness/Node.java
+++ b/review/harness/Node.java
@@ -5,7 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -18,7 +17,7 @@
     private static final Path ROOT = Path.of(System.getProperty("repository", "."));
 
     final String name;
-    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, String> values = new java.util.concurrent.ConcurrentHashMap<>();
     private final Path folder;
     private final Path log;
     private Process process;
@@ -26,17 +25,11 @@
     Node(String name, String zone, String service, String serverAddress, String store, Path temporary)
             throws IOException {
         this.name = name;
-        int[] ports = freePorts(5);
         values.put("node_name", name);
         values.put("zone", zone);
         values.put("service", service);
         values.put("app_addr", serverAddress);
         values.put("ip", "127.0.0.1");
-        values.put("listen.outbound", "127.0.0.1:" + ports[0]);
-        values.put("listen.inbound", "127.0.0.1:" + ports[1]);
-        values.put("listen.ready", "127.0.0.1:" + ports[2]);
-        values.put("listen.control", "127.0.0.1:" + ports[3]);
-        values.put("internal_ports.0", "" + ports[4]);
         values.put("platform.address", store);
         // The bounds of the site file sabios-mesa.
         values.put("bounds.grace_s", "6");
@@ -45,9 +38,31 @@
         values.put("bounds.budget_window_s", "10");
         folder = Files.createDirectories(temporary.resolve(name));
         log = folder.resolve("out.txt");
+        takePorts();
+    }
+
+    private void takePorts() throws IOException {
+        int[] ports = freePorts(5);
+        values.put("listen.outbound", "127.0.0.1:" + ports[0]);
+        values.put("listen.inbound", "127.0.0.1:" + ports[1]);
+        values.put("listen.ready", "127.0.0.1:" + ports[2]);
+        values.put("listen.control", "127.0.0.1:" + ports[3]);
+        values.put("internal_ports.0", "" + ports[4]);
         Files.writeString(folder.resolve("settings.json"), settings());
     }
 
+    /** Starts the process for the first time; takes other ports if another process has just taken one of these. */
+    void startFirst() throws IOException, InterruptedException {
+        for (int i = 0; i < 5; i++) {
+            start();
+            if (!process.waitFor(1_500, TimeUnit.MILLISECONDS)) {
+                return;
+            }
+            takePorts();
+        }
+        throw new IOException(name + " does not start: " + Files.readString(log));
+    }
+
     /** Returns free ports below the range from which the system takes the ports of clients. */
     static int[] freePorts(int count) throws IOException {
         List<ServerSocket> held = new ArrayList<>();
