--- a/review/harness/BurstOfBodies.java
+++ b/review/harness/BurstOfBodies.java
@@ -14,7 +14,7 @@
     /** Clients that send such a body each second, and those that come on top: 2.56 times as many in all. */
     private static final int USUAL_CLIENTS = 16;
     private static final int BURST_CLIENTS = 25;
-    private static final int BURST_MILLIS = 5_500;
+    private static final int BURST_MILLIS = 5_300;
     private static final int SMALL_CLIENTS = 6;
 
     /** Requests without an answer at their time-out from which the rule is judged. */
