Tell which connection carried which call, and which answers were dropped

Now the node beside a server logs each dropped answer with the call that waits, the id that the answer names, its status, the connection's number and how many requests it has carried (server_answers_foreign, _malformed, _unrequested), each failed run, and each answer that was taken after another was dropped or under an id that its connection had carried before (server_id_again). /state lists the last 256 runs with their connections.

--- /dev/null
+++ b/calls/src/main/java/dev/zinniaring/calls/DroppedAnswer.java
@@ -0,0 +1,22 @@
+package dev.zinniaring.calls;
+
+/**
+ * Bytes from a server that were not taken as the answer to a request.
+ *
+ * @param connection number of the connection on which they arrived
+ * @param requests requests that the connection has carried so far
+ * @param echoedId id that the answer echoes, empty if it names none or could not be decoded
+ * @param status status of the answer, 0 if it could not be decoded
+ * @param reason reason code, such as {@code earlier-request}
+ */
+public record DroppedAnswer(
+        long connection, int requests, String echoedId, int status, String reason) {
+    /** The answer names another request than the one that waits. */
+    static final String FOREIGN = "foreign";
+
+    /** No request was waiting on the connection. */
+    static final String UNREQUESTED = "unrequested";
+
+    /** The bytes are no answer in the protocol. */
+    static final String MALFORMED = "malformed";
+}
--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -61,16 +61,25 @@
     private boolean broken;
     private boolean notReusable;
     private boolean readyForReuse;
-    private boolean used;
+    private final CarriedIds carriedIds = new CarriedIds();
+    private final long number;
+    private String echo = "";
+    private int requests;
     private int foreignAnswers;
     private int interimAnswers;
     private long undecodedBytes;
     private long idleSinceNanos;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
 
-    OutboundConnection(PooledHttpClient client, InetSocketAddress address) {
+    /**
+     * Creates a connection.
+     *
+     * @param number number of the connection, by which logs and the state dump name it
+     */
+    OutboundConnection(PooledHttpClient client, InetSocketAddress address, long number) {
         this.client = client;
         this.address = address;
+        this.number = number;
     }
 
     void decodeWith(AnswerDecoder answers) {
@@ -93,9 +102,11 @@
             answers.onFailure(SendFailure.NOT_SENT, "closed");
             return;
         }
-        used = true;
+        requests++;
+        echo = sent.echo();
         request = sent;
         listener = answers;
+        recordId(sent, answers);
         readyForReuse = false;
         foreignAnswers = 0;
         interimAnswers = 0;
@@ -110,6 +121,14 @@
                         });
     }
 
+    private void recordId(OutboundRequest sent, ResponseListener answers) {
+        String id = sent.echo().isEmpty() ? null : sent.headers().get(sent.echo());
+        answers.onSend(number, requests, id != null && carriedIds.contains(id));
+        if (id != null) {
+            carriedIds.add(id);
+        }
+    }
+
     private FullHttpRequest encode(OutboundRequest sent) {
         if (!sent.headers().contains(HttpHeaderNames.HOST)) {
             // RFC 9112, section 3.2: a server answers a request without Host with 400.
@@ -146,6 +165,7 @@
     void bytesArrived(int bytes) {
         undecodedBytes += bytes;
         if (undecodedBytes > MAX_UNDECODED_BYTES) {
+            drop("", 0, DroppedAnswer.MALFORMED);
             fail("malformed-answer");
             close();
         }
@@ -155,6 +175,7 @@
         undecodedBytes = 0;
         if (object.decoderResult().isFailure()) {
             notReusable = true;
+            drop("", 0, DroppedAnswer.MALFORMED);
             fail("malformed-answer");
             close();
             return;
@@ -162,6 +183,9 @@
         if (listener == null) {
             // Bytes after a complete answer belong to no request.
             notReusable = true;
+            if (object instanceof HttpResponse response) {
+                drop(echoedId(response), response.status().code(), DroppedAnswer.UNREQUESTED);
+            }
             close();
             return;
         }
@@ -173,6 +197,21 @@
         }
     }
 
+    /** Reports an answer that is not taken, to the request that waits if there is one. */
+    private void drop(String echoedId, int status, String reason) {
+        DroppedAnswer dropped = new DroppedAnswer(number, requests, echoedId, status, reason);
+        ResponseListener waiting = listener;
+        if (waiting != null) {
+            waiting.onDropped(dropped);
+        } else {
+            client.unrequested(dropped);
+        }
+    }
+
+    private String echoedId(HttpResponse response) {
+        return echo.isEmpty() ? "" : response.headers().get(echo, "");
+    }
+
     private void begin(HttpResponse response) {
         if (response.status().code() < FIRST_FINAL_STATUS) {
             interimAnswers++;
@@ -211,6 +250,7 @@
         }
         if (foreign(response)) {
             notReusable = true;
+            drop(echoedId(response), response.status().code(), DroppedAnswer.FOREIGN);
             foreignAnswers++;
             if (foreignAnswers > MAX_FOREIGN_ANSWERS) {
                 fail("foreign-answers");
@@ -350,7 +390,7 @@
     /** Returns whether the connection was closed before a request was sent on it. */
     boolean closedUnused() {
         ChannelHandlerContext open = context;
-        return !used && (open == null || !open.channel().isActive());
+        return requests == 0 && (open == null || !open.channel().isActive());
     }
 
     /** Returns whether the connection has been idle for longer than the keep-alive time. */
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -5,6 +5,7 @@
 import dev.zinniaring.kernel.RateLimit;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -54,6 +55,7 @@
     private final LocalServerLimit limit;
     private final ServerAdmission<OwnerJob> admission;
     private final CrashWatch crashes;
+    private final RunLog runLog;
     private Runnable misdirected = () -> {};
     private Consumer<String> leavingListener = serverId -> {};
     private boolean awaitingLimit;
@@ -93,6 +95,7 @@
         this.limit = new LocalServerLimit(rate, counters);
         this.admission = new ServerAdmission<>(clock, rate);
         this.crashes = new CrashWatch(client, guard, counters);
+        this.runLog = new RunLog(clock, counters);
         this.downUntilNanos = clock.nanos();
     }
 
@@ -118,6 +121,16 @@
         leavingListener = action;
     }
 
+    /** Traces the answers that arrive on the client's connections while no call waits. */
+    public void observeUnrequestedAnswers() {
+        client.onUnrequested(runLog::unrequested);
+    }
+
+    /** Returns the latest runs at the server, oldest first, as text. */
+    public List<String> latestRuns() {
+        return runLog.latest().stream().map(RunLog.Run::toString).toList();
+    }
+
     /** Refuses all waiting and all further calls with the given reason. */
     public void refuse(String reason) {
         refusalReason = reason;
@@ -276,12 +289,14 @@
         private final LocalServer server;
         private final long expectedNanos;
         private final long startNanos = clock.nanos();
+        private final RunLog.Tracer tracer;
         private CrashGuard.@Nullable Run guarded;
         private boolean ended;
 
         Run(OwnerJob job, LocalServer server) {
             this.job = job;
             this.server = server;
+            this.tracer = runLog.start(job, server.serverId());
             this.expectedNanos = admission.expectedNanos(job);
         }
 
@@ -333,6 +348,16 @@
                     names.callId());
         }
 
+        @Override
+        public void onSend(long connection, int requests, boolean idCarried) {
+            tracer.sent(connection, requests, idCarried);
+        }
+
+        @Override
+        public void onDropped(DroppedAnswer answer) {
+            tracer.dropped(answer);
+        }
+
         private void release() {
             if (!ended) {
                 ended = true;
@@ -343,6 +368,7 @@
         @Override
         public void onResponse(Answer answer) {
             release();
+            tracer.answered(answer.status());
             backOffNanos = MIN_BACK_OFF_NANOS;
             if (answer.status() == MISDIRECTED) {
                 counters.increment("server_misdirected");
@@ -374,6 +400,7 @@
         @Override
         public void onFailure(SendFailure failure, String reason) {
             release();
+            tracer.failed(reason);
             counters.increment("server_" + reason.replace('-', '_'));
             if (failure == SendFailure.NOT_SENT) {
                 downUntilNanos = clock.nanos() + backOffNanos;
--- a/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
@@ -45,6 +45,8 @@
     private final Map<InetSocketAddress, Deque<OutboundConnection>> idle = new HashMap<>();
     private final Map<InetSocketAddress, Integer> openConnections = new HashMap<>();
     private final ReceiveBudget receiveBudget = new ReceiveBudget();
+    private Consumer<DroppedAnswer> unrequestedListener = dropped -> {};
+    private long connections;
 
     /** Creates a client that runs on the event loop of a group with a single thread. */
     public PooledHttpClient(EventLoopGroup group, Clock clock) {
@@ -52,6 +54,21 @@
         this.clock = clock;
     }
 
+    /** Sets the action that receives the answers that arrive while no request is waiting. */
+    void onUnrequested(Consumer<DroppedAnswer> action) {
+        unrequestedListener = action;
+    }
+
+    /** Reports an answer that arrived while no request was waiting. */
+    void unrequested(DroppedAnswer dropped) {
+        unrequestedListener.accept(dropped);
+    }
+
+    private OutboundConnection create(InetSocketAddress address) {
+        connections++;
+        return new OutboundConnection(this, address, connections);
+    }
+
     /** Handle of a request in flight. */
     public interface Sending {
         /** Cancels the request: closes its connection; the listener is not called any more. */
@@ -76,7 +93,7 @@
             InetSocketAddress address,
             int connectMillis,
             Consumer<@Nullable OutboundConnection> result) {
-        OutboundConnection created = new OutboundConnection(this, address);
+        OutboundConnection created = create(address);
         connect(created, connectMillis)
                 .addListener(
                         done -> {
@@ -210,7 +227,7 @@
         }
 
         private void connect() {
-            OutboundConnection created = new OutboundConnection(PooledHttpClient.this, address);
+            OutboundConnection created = create(address);
             ChannelFuture opening = PooledHttpClient.this.connect(created, request.connectMillis());
             connecting = opening.channel();
             opening.addListener(done -> connected(created, opening));
@@ -259,6 +276,16 @@
             }
         }
 
+        @Override
+        public void onSend(long number, int requests, boolean idCarried) {
+            listener.onSend(number, requests, idCarried);
+        }
+
+        @Override
+        public void onDropped(DroppedAnswer dropped) {
+            listener.onDropped(dropped);
+        }
+
         @Override
         public void onResponse(Answer answer) {
             if (!ended) {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/CallPath.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/CallPath.java
@@ -125,6 +125,7 @@
                             .maxSuspects(MAX_SUSPECTS)
                             .build();
             OwnerCalls owner = new OwnerCalls(http, names, clock, counters, localServer, guard);
+            owner.observeUnrequestedAnswers();
             PeerSender peers = new PeerSender(http, names, clock, counters);
             EntrySettings entrySettings =
                     new EntrySettings(
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -494,6 +494,7 @@
                 calls.owner().running(),
                 calls.owner().waiting(),
                 callListener.connections(),
+                calls.owner().latestRuns(),
                 directory.records());
     }
 }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
@@ -16,6 +16,8 @@
  * @param running calls executing at its backend server
  * @param waiting calls queued for its backend server
  * @param connections open connections of clients
+ * @param latestRuns latest runs of calls at its backend server, oldest first: which connection
+ *     carried which call, and what came back
  * @param servers all known backend servers
  */
 public record SidecarState(
@@ -29,4 +31,5 @@
         int running,
         int waiting,
         int connections,
+        List<String> latestRuns,
         List<EndpointRecord> servers) {}
