Fail an answer whose head is outside the grammar of HTTP/1.1

Callers saw a success where the server had not answered in the protocol: behind blank lines or white space, with another protocol version, with a status of other than three digits, with a header line without a colon, with a body in an unknown transfer coding. Cause: the decoder skips or corrects such deviations; junk without a line end held the call until its deadline. Class: lenient decoding.

--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Locale;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -165,19 +167,36 @@
     void bytesArrived(int bytes) {
         undecodedBytes += bytes;
         if (undecodedBytes > MAX_UNDECODED_BYTES) {
-            drop("", 0, DroppedAnswer.MALFORMED);
-            fail("malformed-answer");
-            close();
+            failMalformed();
         }
     }
 
+    private void failMalformed() {
+        notReusable = true;
+        drop("", 0, DroppedAnswer.MALFORMED);
+        fail("malformed-answer");
+        close();
+    }
+
+    /**
+     * Returns whether an answer names two requests, or has a transfer coding other than chunked, so
+     * that its body would be passed on coded.
+     */
+    private boolean ambiguous(HttpResponse response) {
+        HttpHeaders headers = response.headers();
+        List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean coded =
+                !codings.isEmpty()
+                        && !(codings.size() == 1
+                                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                        codings.get(0).trim()));
+        return coded || (!echo.isEmpty() && headers.getAll(echo).stream().distinct().count() > 1);
+    }
+
     private void process(HttpObject object) {
         undecodedBytes = 0;
         if (object.decoderResult().isFailure()) {
-            notReusable = true;
-            drop("", 0, DroppedAnswer.MALFORMED);
-            fail("malformed-answer");
-            close();
+            failMalformed();
             return;
         }
         if (listener == null) {
@@ -190,6 +209,10 @@
             return;
         }
         if (object instanceof HttpResponse response) {
+            if (ambiguous(response)) {
+                failMalformed();
+                return;
+            }
             begin(response);
         }
         if (head != null && object instanceof HttpContent content) {
