Take an answer without an id only on a connection that has carried no other call

Cause: failures without an id were always taken. Class: identity from a header that may be missing. AnswerMatch decides now, by the ids and by whether the connection has carried an earlier request: such an answer ends the call as one that may have run and closes the connection, since nothing tells whose it is. A success without an id on a new connection fails at once and no longer at the deadline. A call without an id gets a connection of its own.

--- a/calls/src/main/java/dev/zinniaring/calls/DroppedAnswer.java
+++ b/calls/src/main/java/dev/zinniaring/calls/DroppedAnswer.java
@@ -7,13 +7,16 @@
  * @param requests requests that the connection has carried so far
  * @param echoedId id that the answer echoes, empty if it names none or could not be decoded
  * @param status status of the answer, 0 if it could not be decoded
- * @param reason reason code, such as {@code earlier-request}
+ * @param reason reason code, such as {@link #FOREIGN}
  */
 public record DroppedAnswer(
         long connection, int requests, String echoedId, int status, String reason) {
     /** The answer names another request than the one that waits. */
     static final String FOREIGN = "foreign";
 
+    /** The answer names no request, and may be a late one to an earlier request. */
+    static final String AMBIGUOUS = "ambiguous";
+
     /** No request was waiting on the connection. */
     static final String UNREQUESTED = "unrequested";
 
--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -271,14 +271,9 @@
             fail("answer-cut");
             return;
         }
-        if (foreign(response)) {
-            notReusable = true;
-            drop(echoedId(response), response.status().code(), DroppedAnswer.FOREIGN);
-            foreignAnswers++;
-            if (foreignAnswers > MAX_FOREIGN_ANSWERS) {
-                fail("foreign-answers");
-                close();
-            }
+        AnswerMatch match = match(response);
+        if (match != AnswerMatch.OWN) {
+            skip(response, match);
             return;
         }
         Answer answer =
@@ -303,21 +298,32 @@
         }
     }
 
-    /**
-     * Returns whether an answer belongs to another request, judging by the echoed header. A
-     * successful answer without that header counts as foreign.
-     */
-    private boolean foreign(HttpResponse response) {
+    private AnswerMatch match(HttpResponse response) {
         OutboundRequest sent = request;
         if (sent == null || sent.echo().isEmpty()) {
-            return false;
+            return AnswerMatch.OWN;
+        }
+        return AnswerMatch.of(
+                sent.headers().get(sent.echo()),
+                response.headers().get(sent.echo()),
+                response.status().code(),
+                requests == 1);
+    }
+
+    private void skip(HttpResponse response, AnswerMatch match) {
+        notReusable = true;
+        foreignAnswers++;
+        if (match == AnswerMatch.AMBIGUOUS) {
+            drop("", response.status().code(), DroppedAnswer.AMBIGUOUS);
+            fail("ambiguous-answer");
+            close();
+            return;
         }
-        String expected = sent.headers().get(sent.echo());
-        String echoed = response.headers().get(sent.echo());
-        if (echoed == null) {
-            return response.status().code() < 400;
+        drop(echoedId(response), response.status().code(), DroppedAnswer.FOREIGN);
+        if (foreignAnswers > MAX_FOREIGN_ANSWERS) {
+            fail("foreign-answers");
+            close();
         }
-        return !echoed.equals(expected);
     }
 
     /** Returns whether the request asks for a connection that serves no other one. */
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -344,10 +344,20 @@
                     exchange.body(),
                     leftMillis + DEADLINE_GRACE_MILLIS,
                     CONNECT_MILLIS,
-                    exchange.method().equals("GET") ? MAX_IDLE_MILLIS : MAX_IDLE_NON_GET_MILLIS,
+                    maxIdleMillis(exchange.method()),
                     names.callId());
         }
 
+        /**
+         * Returns 0, for a new connection, if the answer cannot be matched by the id of the call.
+         */
+        private int maxIdleMillis(String method) {
+            if (job.callId().isEmpty()) {
+                return 0;
+            }
+            return method.equals("GET") ? MAX_IDLE_MILLIS : MAX_IDLE_NON_GET_MILLIS;
+        }
+
         @Override
         public void onSend(long connection, int requests, boolean idCarried) {
             tracer.sent(connection, requests, idCarried);
