Send no id twice on one connection

Cause: an id was taken to name one run. Class: state of an ended call that the next one finds. If all idle ones have carried it, a new connection takes the place of one of them.

--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -124,13 +124,26 @@
     }
 
     private void recordId(OutboundRequest sent, ResponseListener answers) {
-        String id = sent.echo().isEmpty() ? null : sent.headers().get(sent.echo());
+        String id = id(sent);
         answers.onSend(number, requests, id != null && carriedIds.contains(id));
         if (id != null) {
             carriedIds.add(id);
         }
     }
 
+    private static @Nullable String id(OutboundRequest sent) {
+        return sent.echo().isEmpty() ? null : sent.headers().get(sent.echo());
+    }
+
+    /**
+     * Returns whether the connection has carried a request with the same id, so that a late answer
+     * to that one could be taken for the answer to this one.
+     */
+    boolean hasCarried(OutboundRequest next) {
+        String id = id(next);
+        return id != null && carriedIds.contains(id);
+    }
+
     private FullHttpRequest encode(OutboundRequest sent) {
         if (!sent.headers().contains(HttpHeaderNames.HOST)) {
             // RFC 9112, section 3.2: a server answers a request without Host with 400.
--- a/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
@@ -217,13 +217,26 @@
                 return null;
             }
             long nowNanos = clock.nanos();
-            for (OutboundConnection next = pooled.poll(); next != null; next = pooled.poll()) {
-                if (next.usable(nowNanos, request.maxIdleMillis())) {
-                    return next;
+            List<OutboundConnection> carriers = new ArrayList<>(0);
+            OutboundConnection taken = null;
+            while (taken == null && !pooled.isEmpty()) {
+                OutboundConnection next = pooled.remove();
+                if (!next.usable(nowNanos, request.maxIdleMillis())) {
+                    next.close();
+                } else if (next.hasCarried(request)) {
+                    carriers.add(next);
+                } else {
+                    taken = next;
                 }
-                next.close();
             }
-            return null;
+            if (taken == null && !carriers.isEmpty()) {
+                // A new connection takes its place, so that their number does not grow.
+                carriers.remove(carriers.size() - 1).close();
+            }
+            for (int i = carriers.size() - 1; i >= 0; i--) {
+                pooled.addFirst(carriers.get(i));
+            }
+            return taken;
         }
 
         private void connect() {
