Deliver a server's failure when no other server can be tried

Callers were told with 503 and Retry-After that a call had not run, although a server had run it and answered 500: after a failure that may be repeated the entry node looks for another server, and where there was none, or it refused, the call ended as refused, as if nothing had been sent; at the deadline it ended with a 504 of the node's own. Class: an answer of the node's own in place of the server's. The failure is kept now and delivered unless another attempt ends with an answer. MistakenAnswersTest.theFailureOfAServerIsNotReplaced... failed before ("503" for "500 own"). All tests of the module pass.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -51,6 +51,10 @@
     private int placements;
     private int attempts;
     private boolean mayHaveRun;
+
+    /** Failure that a server answered, kept while another server is tried. */
+    private @Nullable Answer serverFailure;
+
     private String lastReason = "no-server";
 
     EntryCall(EntryCalls calls, Exchange exchange, CallRoute route, long version) {
@@ -136,9 +140,16 @@
             return;
         }
         if (answer.status() >= SERVER_ERROR && mayRetry()) {
+            serverFailure = answer;
+            mayHaveRun = true;
             retry("status-" + answer.status());
             return;
         }
+        deliver(answer);
+    }
+
+    /** Ends the call with the answer of a server. */
+    private void deliver(Answer answer) {
         HttpHeaders headers = HopHeaders.withKnownNames();
         HopHeaders.copyEndToEnd(answer.headers(), headers);
         if (answer.status() >= SERVER_ERROR) {
@@ -210,6 +221,11 @@
         if (!running.isEmpty()) {
             return;
         }
+        Answer kept = serverFailure;
+        if (kept != null) {
+            deliver(kept);
+            return;
+        }
         if (mayHaveRun) {
             calls.counters().increment("failed");
             log("failed", lastReason);
@@ -241,6 +257,11 @@
         if (exchange.ended()) {
             return;
         }
+        Answer kept = serverFailure;
+        if (kept != null) {
+            deliver(kept);
+            return;
+        }
         boolean sent = !running.isEmpty() || mayHaveRun;
         calls.counters().increment("timed_out");
         log("timed-out", lastReason);
