Remember over a planned stop that a server is leaving

Cause: a planned stop deleted the node's row, from which its next incarnation restores that the server is leaving; after a kill the row stays. The row now stays DRAINING over a planned stop while the server still runs, and is deleted as before if nothing listens at the server's address, as when a VM is taken away. The next incarnation also restores it from the lists of peers, when the store is away. The record of the configuration's location moves to a file of its own.

LocalRecordPublisherTest.aPlannedStopDoesNotForget... fails without the change (GONE for DRAINING).

--- a/bench/src/main/java/dev/zinniaring/bench/SidecarMesh.java
+++ b/bench/src/main/java/dev/zinniaring/bench/SidecarMesh.java
@@ -14,6 +14,7 @@
 import dev.zinniaring.model.Route;
 import dev.zinniaring.model.Tables;
 import dev.zinniaring.sidecar.Announcement;
+import dev.zinniaring.sidecar.ConfigurationSource;
 import dev.zinniaring.sidecar.Sidecar;
 import dev.zinniaring.sidecar.SidecarSettings;
 import dev.zinniaring.standins.BackendServer;
@@ -146,7 +147,7 @@
                 new Sidecar(
                         settings,
                         store,
-                        new Sidecar.ConfigurationSource(
+                        new ConfigurationSource(
                                 CONFIGURATION_TABLE, "config", bytes -> configuration()),
                         HeaderNames.builder().build(),
                         group,
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/LocalRecordPublisher.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/LocalRecordPublisher.java
@@ -29,6 +29,7 @@
     private final long startMillis;
     private long incarnation;
     private long sequence;
+    private boolean serverEnded;
     private @Nullable EndpointRecord latest;
 
     /**
@@ -73,6 +74,36 @@
         listener.accept(record);
     }
 
+    /**
+     * Publishes the state of the backend server at the shutdown of this node. If it is leaving and
+     * still runs, its record stays, so that the node's next incarnation does not take it into use.
+     *
+     * @param endCheck runs its argument if the backend server has ended
+     */
+    void publishLast(Consumer<Runnable> endCheck) {
+        publish();
+        EndpointRecord record = latest;
+        if (record != null && record.state() == EndpointState.DRAINING) {
+            endCheck.accept(
+                    () -> {
+                        serverEnded = true;
+                        publish();
+                    });
+        }
+    }
+
+    /**
+     * Restores from records that the backend server was leaving, and replaces those that stand in
+     * for this node's.
+     *
+     * @return whether this changed the state of the current server
+     */
+    boolean restore(Collection<EndpointRecord> records) {
+        boolean serverLeft = restoreLeaving(records);
+        raiseIncarnation(records);
+        return serverLeft;
+    }
+
     /**
      * Raises the incarnation above that of any record that other nodes would use in place of this
      * node's: one of this node, left by an earlier incarnation before the clock was set back or not
@@ -140,12 +171,13 @@
     }
 
     private EndpointState state(@Nullable Announcement announcement) {
+        if (announcement != null && announcement.leaving() && !serverEnded) {
+            // Also at shutdown, so that the node's next incarnation restores it from the table.
+            return EndpointState.DRAINING;
+        }
         if (leaving.getAsBoolean() || announcement == null) {
             return EndpointState.GONE;
         }
-        if (announcement.leaving()) {
-            return EndpointState.DRAINING;
-        }
         return announcement.coldMillis() > 0 ? EndpointState.WARMING : EndpointState.READY;
     }
 }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/NodesTable.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/NodesTable.java
@@ -79,9 +79,7 @@
         } else {
             directory.mergeStored(records, gone, page.revision());
         }
-        boolean serverLeft = localRecord.restoreLeaving(records);
-        localRecord.raiseIncarnation(records);
-        return serverLeft;
+        return localRecord.restore(records);
     }
 
     /**
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
@@ -51,20 +51,44 @@
             return;
         }
         sent = true;
+        client.send(address, request(healthPath), new Result(onIdentified));
+    }
+
+    /**
+     * Finds out whether the backend server still runs.
+     *
+     * @param onEnded runs if nothing listens at its address any more
+     */
+    void checkEnded(String healthPath, Runnable onEnded) {
+        client.send(
+                address,
+                request(healthPath),
+                new ResponseListener() {
+                    @Override
+                    public void onResponse(Answer answer) {}
+
+                    @Override
+                    public void onFailure(SendFailure failure, String reason) {
+                        if (failure == SendFailure.NOT_SENT) {
+                            onEnded.run();
+                        }
+                    }
+                });
+    }
+
+    private static OutboundRequest request(String healthPath) {
         // A late second answer to a health check names no request, so no call may follow it.
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        OutboundRequest request =
-                new OutboundRequest(
-                        "GET",
-                        healthPath,
-                        headers,
-                        new byte[0],
-                        TIMEOUT_MILLIS,
-                        CONNECT_TIMEOUT_MILLIS,
-                        0,
-                        "");
-        client.send(address, request, new Result(onIdentified));
+        return new OutboundRequest(
+                "GET",
+                healthPath,
+                headers,
+                new byte[0],
+                TIMEOUT_MILLIS,
+                CONNECT_TIMEOUT_MILLIS,
+                0,
+                "");
     }
 
     private final class Result implements ResponseListener {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -96,20 +96,9 @@
     private final LocalRecordPublisher localRecord;
     private final NodesTable nodesTable;
     private boolean nodesListed;
-
     private long sweeps;
     private long startNanos;
 
-    /**
-     * Location and format of the configuration on a platform.
-     *
-     * @param configurationTable store table that contains the configuration
-     * @param configurationKey key of the row that contains it
-     * @param reader parser of the row's value
-     */
-    public record ConfigurationSource(
-            String configurationTable, String configurationKey, ConfigurationReader reader) {}
-
     /**
      * Assembles a sidecar; {@link #start} runs it.
      *
@@ -249,7 +238,7 @@
     public void start() throws KernelException {
         startNanos = clock.nanos();
         followStoreEra();
-        gossip.onRecords(localRecord::raiseIncarnation);
+        gossip.onRecords(records -> onRestored(localRecord.restore(records)));
         calls.owner().onMisdirected(this::onServerMisdirected);
         calls.owner().onLeaving(this::onServerLeaving);
         calls.owner().onSuspects(suspects::pushNews);
@@ -368,9 +357,7 @@
     }
 
     private void onNodeRows(RowPage page, boolean complete) {
-        if (nodesTable.apply(page, complete)) {
-            calls.owner().refuseWaiting("leaving");
-        }
+        onRestored(nodesTable.apply(page, complete));
         nodesListed = true;
         suspects.askAtStart();
         if (!page.rows().isEmpty()) {
@@ -378,6 +365,12 @@
         }
     }
 
+    private void onRestored(boolean serverLeft) {
+        if (serverLeft) {
+            calls.owner().refuseWaiting("leaving");
+        }
+    }
+
     private Digest digest() {
         return new Digest(
                 activeConfiguration.number(),
@@ -473,10 +466,14 @@
                             () -> calls.owner().refuse("node-leaving"),
                             calls.entry()::startShutdown,
                             onStopped);
-                    localRecord.publish();
+                    localRecord.publishLast(this::checkServerEnded);
                 });
     }
 
+    private void checkServerEnded(Runnable onEnded) {
+        probe.checkEnded(serverSettings().healthPath(), onEnded);
+    }
+
     private int inFlight() {
         return callListener.inFlight() + peerListener.inFlight();
     }
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/LocalRecordPublisherTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/LocalRecordPublisherTest.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /** Tests what a node restores from the records of its earlier incarnations. */
@@ -68,6 +69,40 @@
         assertThat(tracker.local().leaving()).isTrue();
     }
 
+    private LocalRecordPublisher atShutdown() {
+        return new LocalRecordPublisher(
+                settings(), clock, tracker, () -> SERVER, () -> true, published::add);
+    }
+
+    private EndpointState lastState() {
+        return published.get(published.size() - 1).state();
+    }
+
+    /** The next incarnation would take the server into use after a late announcement. */
+    @Test
+    void aPlannedStopDoesNotForgetThatTheServerIsLeavingWhileItStillRuns() {
+        announce();
+        tracker.handleDeregistration("i1", Optional.empty());
+        atShutdown().publishLast(onEnded -> {});
+        assertThat(lastState()).isEqualTo(EndpointState.DRAINING);
+    }
+
+    /** Rows of servers that have ended would pile up in the table. */
+    @Test
+    void aPlannedStopRemovesTheRecordOfAServerThatHasEnded() {
+        announce();
+        tracker.handleDeregistration("i1", Optional.empty());
+        atShutdown().publishLast(Runnable::run);
+        assertThat(lastState()).isEqualTo(EndpointState.GONE);
+    }
+
+    @Test
+    void aPlannedStopRemovesTheRecordOfAServerThatIsNotLeaving() {
+        announce();
+        atShutdown().publishLast(onEnded -> {});
+        assertThat(lastState()).isEqualTo(EndpointState.GONE);
+    }
+
     private static EndpointRecord odd(
             String nodeId, String address, long incarnation, long sequence) {
         return new EndpointRecord(
