--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -95,6 +96,12 @@
             failIfNoneRunning();
             return;
         }
+        OptionalLong serverDeadlineNanos = serverDeadlineNanos();
+        if (serverDeadlineNanos.isEmpty()) {
+            lastReason = StopAdmission.REASON;
+            failIfNoneRunning();
+            return;
+        }
         EndpointRecord chosen = selectServer();
         if (chosen == null) {
             if (placements == 0 && !calls.servers().of(service).isEmpty()) {
@@ -106,7 +113,7 @@
         placements++;
         tried.add(chosen.serverId());
         lastServer = chosen;
-        new Attempt(chosen).start();
+        new Attempt(chosen, serverDeadlineNanos.getAsLong()).start();
     }
 
     /** Returns whether the request must not run, as it crashes the servers that run it. */
@@ -114,6 +121,15 @@
         return calls.guard().verdict(fingerprint) == CrashGuard.Verdict.HOLD;
     }
 
+    /** Returns the deadline for a server, or empty if this node ends too soon for the call. */
+    private OptionalLong serverDeadlineNanos() {
+        return calls.stop()
+                .serverDeadlineNanos(
+                        deadlineNanos,
+                        route.route().idempotent(),
+                        calls.balancer().meanNanos(route));
+    }
+
     private @Nullable EndpointRecord selectServer() {
         return placements >= MAX_PLACEMENTS
                 ? null
@@ -168,7 +184,9 @@
     private void handleDeclined(OwnerResult result) {
         attempts++;
         lastReason = result.reason();
-        if (attemptsLeft() && calls.budget().tryTake(service)) {
+        if (attemptsLeft()
+                && serverDeadlineNanos().isPresent()
+                && calls.budget().tryTake(service)) {
             retry(result.reason());
         } else {
             failIfNoneRunning();
@@ -207,6 +225,7 @@
         return route.route().idempotent()
                 && attemptsLeft()
                 && !held()
+                && serverDeadlineNanos().isPresent()
                 && leftNanos > calls.balancer().meanNanos(route) / 2
                 && calls.budget().tryTake(service);
     }
@@ -245,6 +264,12 @@
             return Long.toString(calls.guard().timeToExpiry(fingerprint).toSeconds());
         }
         long nowNanos = clock.nanos();
+        if (calls.stop().stopping() && lastReason.equals(StopAdmission.REASON)) {
+            return RetryAfter.secondsAfter(
+                    calls.untilSwitchedNanos() / 1e6,
+                    (deadlineNanos - nowNanos) / 1e6,
+                    calls.random());
+        }
         return RetryAfter.seconds(
                 (targetNanos - nowNanos) / 1e6,
                 (deadlineNanos - nowNanos) / 1e6,
@@ -339,7 +364,7 @@
         private final OwnerJob job;
         private boolean hedged;
 
-        Attempt(EndpointRecord server) {
+        Attempt(EndpointRecord server, long serverDeadlineNanos) {
             this.server = server;
             this.job =
                     new OwnerJob(
@@ -349,7 +374,7 @@
                             route.route().name(),
                             route.targetMillis(),
                             route.rankOrder(),
-                            deadlineNanos,
+                            serverDeadlineNanos,
                             targetNanos,
                             this::ended);
             job.knownLimitPerSecond(calls.balancer().limitPerSecond(server));
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -165,7 +165,7 @@
         configurationWatcher.onFailure(gossip::push);
         activeConfiguration.onChange(() -> scheduler.execute(this::onConfigurationChanged));
         this.probe = new ServerProbe(client, names, settings.server());
-        this.shutdown = new GracefulShutdown(settings, clock, scheduler, this::inFlight);
+        this.shutdown = gracefulShutdown(names);
         this.localRecord =
                 new LocalRecordPublisher(
                         settings,
@@ -177,6 +177,14 @@
         this.nodesTable = nodesTable();
     }
 
+    private GracefulShutdown gracefulShutdown(HeaderNames names) {
+        return new GracefulShutdown(
+                settings.grace(),
+                clock,
+                scheduler,
+                new ListenerCalls(callListener, peerListener, calls, names));
+    }
+
     private NodesTable nodesTable() {
         return new NodesTable(
                 store, settings.nodeId(), directory, writer, localRecord, gossip::isReader);
@@ -451,19 +459,13 @@
      * thread; only the first call has an effect.
      */
     public void shutDown(Runnable onStopped) {
+        long requestedNanos = clock.nanos();
         scheduler.execute(
                 () -> {
-                    if (shutdown.started()) {
-                        return;
+                    if (!shutdown.started()) {
+                        shutdown.start(requestedNanos, onStopped);
+                        localRecord.publishLast(this::checkServerEnded);
                     }
-                    log.info("shutting down node={} in_flight={}", settings.nodeId(), inFlight());
-                    callListener.drain();
-                    peerListener.drain();
-                    shutdown.start(
-                            () -> calls.owner().refuse("node-leaving"),
-                            calls.entry()::startShutdown,
-                            onStopped);
-                    localRecord.publishLast(this::checkServerEnded);
                 });
     }
 
@@ -471,10 +473,6 @@
         probe.checkEnded(serverSettings().healthPath(), onEnded);
     }
 
-    private int inFlight() {
-        return callListener.inFlight() + peerListener.inFlight();
-    }
-
     /** Returns the current state. Must be called on the event loop. */
     public SidecarState state() {
         return new SidecarState(
