Accept only answers that name their call, on the own path

Callers could get an answer that a server had given to another call: a late copy of an earlier failure without a call id, or a success without one, was passed on as "ran", and of two ids in one answer (a failure that broke off in its head, followed by the next answer) only the last was looked at.

HopClient now decides with ResponseOrigin: an answer counts if all ids in it are the call's own. One without an id counts only if it is a failure and its connection has carried no other call; the connection isn't used again. Any other closes the connection, and the call ends as 502 "unknown", crossed-answer. The notices and the load in such an answer are not read either. Owner nodes, entry nodes and homes of keys name the call in answers of their own, so that the hop between nodes is held to the same and keeps its connections after a refusal.

Evidence, CallPathTest on (37 tests, 6 failures): a 503 without an id before the next answer was passed on as 503 (expected 502), a 200 without one as 200, a 503 with two ids as 503; a first success without an id had outcome "ran"; refusals did not name their call. A 503 with the earlier id alone was refused before as well. Now 113 tests of node pass.

RawServer fills in the ids of calls; the rows of CallPathTest on broken answers and forged headers name their call, which they now must to reach what they test. Backend servers have to return Zinniaring-Call-Id in a success (design.md, 6.2); the stand-ins do.

--- a/node/src/main/java/dev/zinniaring/node/CallContextFactory.java
+++ b/node/src/main/java/dev/zinniaring/node/CallContextFactory.java
@@ -91,8 +91,7 @@
     private static String callId(Exchange exchange) throws CallException {
         String sent = exchange.header(CallHeaders.CALL_ID);
         if (sent == null || sent.isEmpty()) {
-            ThreadLocalRandom random = ThreadLocalRandom.current();
-            return Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+            return newCallId();
         }
         if (sent.length() > MAX_ID_CHARS) {
             throw CallException.notRun(400, "bad-call-id");
@@ -100,6 +99,11 @@
         return sent;
     }
 
+    static String newCallId() {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        return Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+    }
+
     private static @Nullable String key(Exchange exchange) throws CallException {
         String key = exchange.header(CallHeaders.IDEMPOTENCY_KEY);
         if (key != null && (key.isEmpty() || key.length() > MAX_ID_CHARS)) {
--- a/node/src/main/java/dev/zinniaring/node/Exchange.java
+++ b/node/src/main/java/dev/zinniaring/node/Exchange.java
@@ -147,6 +147,14 @@
         response.setStatus(status);
     }
 
+    /** Adds the call id of the request to the response, unless the response has one. */
+    void nameCall() {
+        String callId = header(CallHeaders.CALL_ID);
+        if (callId != null && !responseHeaders().contains(CallHeaders.CALL_ID)) {
+            responseHeaders().put(CallHeaders.CALL_ID, callId);
+        }
+    }
+
     HttpFields.Mutable responseHeaders() {
         return response.getHeaders();
     }
@@ -168,6 +176,7 @@
             return;
         }
         status(refusal.status());
+        nameCall();
         responseHeaders().put(CallHeaders.OUTCOME, refusal.outcome().headerValue());
         responseHeaders().put(CallHeaders.REASON, refusal.reason());
         responseHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
--- a/node/src/main/java/dev/zinniaring/node/HopClient.java
+++ b/node/src/main/java/dev/zinniaring/node/HopClient.java
@@ -5,7 +5,6 @@
 import java.net.Proxy;
 import java.time.Duration;
 import java.util.List;
-import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Connection;
@@ -70,6 +69,11 @@
         private static final long serialVersionUID = 1L;
     }
 
+    /** Thrown if a response may belong to another call. */
+    private static final class ForeignResponseException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     private static EventListener listener(Call call) {
         Progress progress = call.request().tag(Progress.class);
         return progress == null ? EventListener.NONE : progress;
@@ -83,11 +87,7 @@
             throw stale(connection);
         }
         Response response = chain.proceed(chain.request());
-        if (!Objects.equals(
-                response.header(CallHeaders.CALL_ID),
-                chain.request().header(CallHeaders.CALL_ID))) {
-            socket.retire();
-        }
+        checkOrigin(response, callId(chain.request()), socket);
         String retryAfter = response.header("Retry-After");
         if (response.code() != UNAVAILABLE || retryAfter == null) {
             return response;
@@ -98,6 +98,31 @@
                 .build();
     }
 
+    private static void checkOrigin(Response response, String sentId, HopSocket socket)
+            throws IOException {
+        ResponseOrigin origin =
+                ResponseOrigin.of(
+                        sentId,
+                        response.headers(CallHeaders.CALL_ID),
+                        response.code(),
+                        socket.firstRequest());
+        if (origin == ResponseOrigin.FOREIGN) {
+            socket.close();
+            throw new ForeignResponseException();
+        }
+        if (origin == ResponseOrigin.UNNAMED) {
+            socket.retire();
+        }
+    }
+
+    private static String callId(Request request) {
+        String callId = request.header(CallHeaders.CALL_ID);
+        if (callId == null) {
+            throw new IllegalArgumentException("request without a call id: " + request.url());
+        }
+        return callId;
+    }
+
     private static IOException stale(@Nullable Connection connection) throws IOException {
         if (connection != null) {
             connection.socket().close();
@@ -108,6 +133,7 @@
     /**
      * Sends a request and returns its response with the body unread; the caller must end it.
      *
+     * @param request must carry the id of its call
      * @param leftNanos time left until the deadline
      * @param cancellation cancels the request when the caller disconnects
      * @throws HopException if no response was received
@@ -142,6 +168,9 @@
         if (cancellation.cancelled()) {
             return HopException.Kind.CANCELLED;
         }
+        if (e instanceof ForeignResponseException) {
+            return HopException.Kind.FOREIGN;
+        }
         return kind(e);
     }
 
--- a/node/src/main/java/dev/zinniaring/node/HopException.java
+++ b/node/src/main/java/dev/zinniaring/node/HopException.java
@@ -10,6 +10,8 @@
         NOT_SENT,
         /** The connection broke, or the response was malformed. */
         BROKEN,
+        /** The response may belong to another call. */
+        FOREIGN,
         /** The deadline passed. */
         TIMED_OUT,
         /** The caller disconnected. */
--- a/node/src/main/java/dev/zinniaring/node/HopSocket.java
+++ b/node/src/main/java/dev/zinniaring/node/HopSocket.java
@@ -24,6 +24,7 @@
     private @Nullable FramedInputStream input;
 
     private volatile boolean retired;
+    private int requests;
 
     HopSocket() throws IOException {
         super((SocketImpl) null);
@@ -31,8 +32,8 @@
     }
 
     /**
-     * Lets no request follow the current one, as its answer does not name it: a second copy of such
-     * an answer would be taken for the answer to the next request.
+     * Lets no request follow the current one, as its response does not name it: a second copy of
+     * such a response could not be told from the next one.
      */
     void retire() {
         retired = true;
@@ -47,10 +48,16 @@
         if (retired || known == null || !known.atResponseEnd() || !idle()) {
             return false;
         }
+        requests++;
         known.begin(method);
         return true;
     }
 
+    /** Returns whether the current request is the first on this connection. */
+    boolean firstRequest() {
+        return requests == 1;
+    }
+
     private boolean idle() {
         try {
             channel.configureBlocking(false);
--- a/node/src/main/java/dev/zinniaring/node/KeyHome.java
+++ b/node/src/main/java/dev/zinniaring/node/KeyHome.java
@@ -80,6 +80,7 @@
                 new Request.Builder()
                         .url(url)
                         .header(HEADER, ownNodeId)
+                        .header(CallHeaders.CALL_ID, CallContextFactory.newCallId())
                         .post(RequestBody.create(KeyMessages.write(request)))
                         .build();
         return send(http, Math.min(leftNanos, HOME_TIMEOUT_NANOS));
@@ -122,6 +123,7 @@
         }
         byte[] reply = KeyMessages.write(answer(request));
         exchange.status(200);
+        exchange.nameCall();
         exchange.responseHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         exchange.end(reply, 0, reply.length);
     }
--- a/node/src/main/java/dev/zinniaring/node/LocalDispatcher.java
+++ b/node/src/main/java/dev/zinniaring/node/LocalDispatcher.java
@@ -153,12 +153,8 @@
         }
 
         private void check(CallContext call, HopResponse hopResponse) throws CallException {
-            Response response = hopResponse.httpResponse();
-            String callId = response.header(CallHeaders.CALL_ID);
             String fault = null;
-            if (callId != null && !callId.equals(call.callId())) {
-                fault = "crossed-answer";
-            } else if (response.code() == SWITCHING_PROTOCOLS) {
+            if (hopResponse.httpResponse().code() == SWITCHING_PROTOCOLS) {
                 fault = "bad-answer";
             } else if (!hopResponse.framed(call.exchange().method())) {
                 fault = "unframed-answer";
@@ -206,6 +202,11 @@
                     probe.connectionBroken(server, fingerprint);
                     yield CallException.unknown(502, "broken");
                 }
+                case FOREIGN -> {
+                    guarded.failed();
+                    permit.release(RunOutcome.CANCELLED, elapsedNanos());
+                    yield CallException.unknown(502, "crossed-answer");
+                }
                 case TIMED_OUT -> {
                     guarded.failed();
                     permit.release(RunOutcome.OVERLOADED, elapsedNanos());
--- a/node/src/main/java/dev/zinniaring/node/PeerDispatcher.java
+++ b/node/src/main/java/dev/zinniaring/node/PeerDispatcher.java
@@ -60,6 +60,7 @@
         return switch (e.kind()) {
             case NOT_SENT -> CallException.notRun(503, "node-unreachable");
             case BROKEN -> CallException.unknown(502, "broken");
+            case FOREIGN -> CallException.unknown(502, "crossed-answer");
             case TIMED_OUT -> CallException.unknown(504, "deadline");
             case CANCELLED -> CallException.unknown(502, "cancelled");
             case BAD_BODY -> {
--- a/node/src/test/java/dev/zinniaring/node/CallPathTest.java
+++ b/node/src/test/java/dev/zinniaring/node/CallPathTest.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import okhttp3.Headers;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
@@ -33,6 +34,8 @@
  * and against wrong outcomes of failed calls.
  */
 class CallPathTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nZinniaring-Call-Id: {id}\r\n";
+
     private final OkHttpClient client =
             new OkHttpClient.Builder().retryOnConnectionFailure(false).build();
     private final TestMesh mesh = new TestMesh();
@@ -89,12 +92,12 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "Content-Length: 10~~abc                                    | true  | broken",
-                "Transfer-Encoding: chunked~~5~abc                          | true  | broken",
-                "Transfer-Encoding: chunked~~zz~abc                         | true  | broken",
-                "Connection: close~~abc                                     | true  |"
+                "Zinniaring-Call-Id: {id}~Content-Length: 10~~abc           | true  | broken",
+                "Zinniaring-Call-Id: {id}~Transfer-Encoding: chunked~~5~abc | true  | broken",
+                "Zinniaring-Call-Id: {id}~Transfer-Encoding: chunked~~zz~abc | true | broken",
+                "Zinniaring-Call-Id: {id}~Connection: close~~abc            | true  |"
                         + " unframed-answer",
-                "Content-Length: 3~Content-Length: 4~~abc                   | true  |"
+                "Zinniaring-Call-Id: {id}~Content-Length: 3~Content-Length: 4~~abc | true |"
                         + " unframed-answer",
                 "Content-Length: 3~Zinniaring-Call-Id: other~~abc           | false |"
                         + " crossed-answer",
@@ -116,8 +119,7 @@
     @Test
     void closesTheConnectionAfterALongTruncatedResponse() throws IOException {
         String half = "x".repeat(200_000);
-        RawServer server =
-                raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf4240\r\n" + half, true);
+        RawServer server = raw(OK + "Transfer-Encoding: chunked\r\n\r\nf4240\r\n" + half, true);
         owner.serve("s1", "katalog", server.address());
 
         try (Response response = post(entry, "/write", new byte[0])) {
@@ -128,7 +130,7 @@
     /** Guards against reading surplus bytes of a response as the response to the next request. */
     @Test
     void doesNotReadBytesAfterAResponseAsTheNextResponse() throws Exception {
-        String one = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+        String one = OK + "Content-Length: 3\r\n\r\nabc";
         String late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
         RawServer server = raw(one + late, false);
         owner.serve("s1", "katalog", server.address());
@@ -157,6 +159,61 @@
         assertThat(server.connections()).isEqualTo(3);
     }
 
+    /**
+     * Guards against taking an answer that may belong to an earlier call, or to none, for the
+     * answer to the call that runs on its connection now.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 Full~Content-Length: 0~~",
+                "HTTP/1.1 200 OK~Content-Length: 3~~abc",
+                "HTTP/1.1 503 Full~Zinniaring-Call-Id: {before}~Content-Length: 0~~",
+                "HTTP/1.1 503 Full~Zinniaring-Call-Id: {before}~Zinniaring-Call-Id: {id}"
+                        + "~Content-Length: 0~~",
+            })
+    void anAnswerThatMayBelongToAnEarlierCallIsNotPassedOn(String late) throws Exception {
+        String own = OK + "Content-Length: 3\r\n\r\nabc";
+        RawServer server = raw(List.of(own, late.replace("~", "\r\n") + own), false);
+        owner.serve("s1", "katalog", server.address());
+        post(entry, "/write", new byte[0]).close();
+
+        try (Response response = post(entry, "/write", new byte[0])) {
+            assertThat(response.code()).isEqualTo(502);
+            assertThat(response.header("Zinniaring-Outcome")).isEqualTo("unknown");
+            assertThat(response.header("Zinniaring-Reason")).isEqualTo("crossed-answer");
+        }
+        assertThat(server.requests()).isEqualTo(2);
+        assertThat(server.connections()).isEqualTo(1);
+    }
+
+    /** Guards against a success of unknown origin, also where no other call was sent before. */
+    @Test
+    void aSuccessThatDoesNotNameItsCallIsNotPassedOn() throws IOException {
+        RawServer server = raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false);
+        owner.serve("s1", "katalog", server.address());
+
+        try (Response response = post(entry, "/write", new byte[0])) {
+            assertThat(response.header("Zinniaring-Outcome")).isEqualTo("unknown");
+            assertThat(response.header("Zinniaring-Reason")).isEqualTo("crossed-answer");
+        }
+    }
+
+    /** Guards against answers of a node that its callers cannot tell from those to other calls. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/nowhere", "/write"})
+    void refusalsNameTheirCall(String path) throws IOException {
+        Headers headers = Headers.of("Zinniaring-Call-Id", "c9", "Zinniaring-Owner-Hop", "s1");
+        String ownerUrl = "http://" + HopRequests.text(owner.ownerAddress()) + path;
+        for (String url : List.of(entry.url(path), ownerUrl)) {
+            Request request = new Request.Builder().url(url).headers(headers).build();
+            try (Response response = client.newCall(request).execute()) {
+                assertThat(response.header("Zinniaring-Outcome")).isEqualTo("not-run");
+                assertThat(response.headers("Zinniaring-Call-Id")).containsExactly("c9");
+            }
+        }
+    }
+
     /**
      * Guards against retrying a call that may have run on a route that is not idempotent (P5 and P6
      * in docs/design.md).
@@ -229,7 +286,8 @@
     void ignoresForgedMeshHeaders() throws IOException {
         RawServer server =
                 raw(
-                        "HTTP/1.1 200 OK\r\nZinniaring-Outcome: not-run\r\n"
+                        OK
+                                + "Zinniaring-Outcome: not-run\r\n"
                                 + "Zinniaring-Pressure: 0\r\nContent-Length: 0\r\n\r\n",
                         false);
         owner.serve("s1", "katalog", server.address());
@@ -314,7 +372,11 @@
     }
 
     private RawServer raw(String response, boolean close) throws IOException {
-        RawServer server = new RawServer(response, close);
+        return raw(List.of(response), close);
+    }
+
+    private RawServer raw(List<String> responses, boolean close) throws IOException {
+        RawServer server = new RawServer(responses, close);
         closed.add(server);
         return server;
     }
--- a/node/src/test/java/dev/zinniaring/node/RawServer.java
+++ b/node/src/test/java/dev/zinniaring/node/RawServer.java
@@ -7,21 +7,31 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A backend server that reads the head of each request, writes the given bytes and optionally
- * closes the connection.
+ * closes the connection. In these, {@code {id}} stands for the id of the call and {@code {before}}
+ * for that of the call before it on the connection.
  */
 final class RawServer implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger connections = new AtomicInteger();
-    private final String response;
+    private final List<String> responses;
     private final boolean close;
 
     RawServer(String response, boolean close) throws IOException {
-        this.response = response;
+        this(List.of(response), close);
+    }
+
+    /** Creates a server that answers with each of the given responses in turn, then the last. */
+    RawServer(List<String> responses, boolean close) throws IOException {
+        this.responses = List.copyOf(responses);
         this.close = close;
         Thread thread = new Thread(this::serve, "raw-server");
         thread.setDaemon(true);
@@ -57,30 +67,46 @@
     }
 
     private void serve(Socket socket) {
+        String before = "";
         try (socket) {
-            while (readHead(socket.getInputStream())) {
-                requests.incrementAndGet();
+            String callId = callId(socket.getInputStream());
+            while (callId != null) {
+                int index = Math.min(requests.getAndIncrement(), responses.size() - 1);
+                String response =
+                        responses.get(index).replace("{id}", callId).replace("{before}", before);
                 socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
                 socket.getOutputStream().flush();
                 if (close) {
                     return;
                 }
+                before = callId;
+                callId = callId(socket.getInputStream());
             }
         } catch (IOException e) {
             // The other side closed the connection, which ends the exchange of the test.
         }
     }
 
-    private static boolean readHead(InputStream in) throws IOException {
-        int matched = 0;
-        while (matched < 4) {
-            int read = in.read();
-            if (read < 0) {
-                return false;
+    /**
+     * Reads a request with its body; returns the id of its call, empty if it has none, or null at
+     * the end of the connection.
+     */
+    static @Nullable String callId(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
             }
-            matched = read == "\r\n\r\n".charAt(matched) ? matched + 1 : read == '\r' ? 1 : 0;
+            head.append((char) next);
         }
-        return true;
+        in.skipNBytes(Long.parseLong("0" + header(head, "Content-Length")));
+        return header(head, "Zinniaring-Call-Id");
+    }
+
+    private static String header(CharSequence head, String name) {
+        Matcher matcher = Pattern.compile("(?i)\r\n" + name + ": *([^\r]*)").matcher(head);
+        return matcher.find() ? matcher.group(1) : "";
     }
 
     @Override
--- a/node/src/test/java/dev/zinniaring/node/TestMesh.java
+++ b/node/src/test/java/dev/zinniaring/node/TestMesh.java
@@ -83,6 +83,11 @@
             return "http://" + HopRequests.text(ports.callAddress()) + path;
         }
 
+        /** Returns the address for calls of other nodes. */
+        InetSocketAddress ownerAddress() {
+            return ports.peerCallAddress();
+        }
+
         /** Registers a backend server without the announcements API. */
         void serve(String serverId, String service, InetSocketAddress address) {
             servers.announce(
