Send no call id twice on a connection, on the own path

A call that comes again under its id (a caller's repeat, or a call of a server whose parent runs again and passes the id on) could go out on the connection that had carried it before. A late copy of the earlier run's answer then names exactly this call, and its caller got a success where this run of the server had failed.

It holds for the hop to the server and for that between nodes.

--- a/node/src/main/java/dev/zinniaring/node/HopClient.java
+++ b/node/src/main/java/dev/zinniaring/node/HopClient.java
@@ -64,7 +64,10 @@
         }
     }
 
-    /** Thrown if an idle connection was closed by the other side, or received unexpected bytes. */
+    /**
+     * Thrown if an idle connection was closed by the other side, received unexpected bytes, or has
+     * carried the call before.
+     */
     private static final class StaleConnectionException extends IOException {
         private static final long serialVersionUID = 1L;
     }
@@ -81,13 +84,14 @@
 
     private static Response checked(Interceptor.Chain chain) throws IOException {
         Connection connection = chain.connection();
+        String callId = callId(chain.request());
         if (connection == null
                 || !(connection.socket() instanceof HopSocket socket)
-                || !socket.begin(chain.request().method())) {
+                || !socket.begin(chain.request().method(), callId)) {
             throw stale(connection);
         }
         Response response = chain.proceed(chain.request());
-        checkOrigin(response, callId(chain.request()), socket);
+        checkOrigin(response, callId, socket);
         String retryAfter = response.header("Retry-After");
         if (response.code() != UNAVAILABLE || retryAfter == null) {
             return response;
--- a/node/src/main/java/dev/zinniaring/node/HopSocket.java
+++ b/node/src/main/java/dev/zinniaring/node/HopSocket.java
@@ -21,10 +21,10 @@
 final class HopSocket extends Socket {
     private final SocketChannel channel = SocketChannel.open();
     private final Socket socket = channel.socket();
+    private final SentCallIds sentIds = new SentCallIds();
     private @Nullable FramedInputStream input;
 
     private volatile boolean retired;
-    private int requests;
 
     HopSocket() throws IOException {
         super((SocketImpl) null);
@@ -41,21 +41,24 @@
 
     /**
      * Begins a request. Returns false if the connection is not usable, as the other side has closed
-     * it or has sent unexpected bytes.
+     * it or has sent unexpected bytes, or for this call, as it has carried the call before: a late
+     * copy of the earlier response could not be told from the next one.
      */
-    boolean begin(String method) {
+    boolean begin(String method, String callId) {
         FramedInputStream known = input;
         if (retired || known == null || !known.atResponseEnd() || !idle()) {
             return false;
         }
-        requests++;
+        if (!sentIds.add(callId)) {
+            return false;
+        }
         known.begin(method);
         return true;
     }
 
     /** Returns whether the current request is the first on this connection. */
     boolean firstRequest() {
-        return requests == 1;
+        return sentIds.count() == 1;
     }
 
     private boolean idle() {
--- a/node/src/test/java/dev/zinniaring/node/CallPathTest.java
+++ b/node/src/test/java/dev/zinniaring/node/CallPathTest.java
@@ -187,6 +187,24 @@
         assertThat(server.connections()).isEqualTo(1);
     }
 
+    /**
+     * Guards against taking a late copy of the answer to an earlier run of a call for the answer to
+     * a later run under the same id.
+     */
+    @Test
+    void aCallThatComesAgainIsNotSentTwiceOnAConnection() throws Exception {
+        RawServer server = raw(OK + "Content-Length: 3\r\n\r\nabc", false);
+        owner.serve("s1", "katalog", server.address());
+        for (String callId : List.of("c1", "c2", "c1", "c2")) {
+            try (Response again =
+                    post(entry, "/write", new byte[0], "Zinniaring-Call-Id", callId)) {
+                assertThat(again.code()).isEqualTo(200);
+            }
+        }
+        assertThat(server.requests()).isEqualTo(4);
+        assertThat(server.connections()).isEqualTo(2);
+    }
+
     /** Guards against a success of unknown origin, also where no other call was sent before. */
     @Test
     void aSuccessThatDoesNotNameItsCallIsNotPassedOn() throws IOException {
