Check the heads and chunks of answers strictly, on the own path

Callers could get an answer that the server had not given: a failure that broke off in its head ran into the next answer ("HTTP/1.1 503 FuHTTP/1.1 200 OK"), and its status was passed on with the head and body of the other. "ICY 200" was passed on as a success. A status of +20 ended in an internal error that kept the call's place at its server.

Cause: ResponseFraming only looked for the end of an answer and left checking to OkHttp, whose StatusLine.parse takes "ICY 200" for 200, "+20" for 20, and 600. By reading, it also takes bare line feeds, lines without a colon, folded lines, control characters, and any line after the data of a chunk.

ResponseFraming now parses line by line, and ResponseHead checks each line as RFC 9112 asks, without its leniencies: HTTP/1.0 or 1.1, three digits, CRLF, field names and values of the allowed characters, "chunked" or nothing as transfer coding, one framing only, exactly CRLF behind a chunk, and no second status line inside a line. A status line is checked from its first byte, so that junk without a line end is no wait until the deadline. Anything else ends the call as one that may have run (502 "unknown", broken) and its connection.

--- a/node/src/main/java/dev/zinniaring/node/ResponseFraming.java
+++ b/node/src/main/java/dev/zinniaring/node/ResponseFraming.java
@@ -1,36 +1,43 @@
 package dev.zinniaring.node;
 
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Finds the end of an HTTP/1.1 response in the byte stream of a connection, so that bytes after it
- * are not read as the next response. Parses the framing only; the HTTP client validates the rest.
+ * Finds the end of an HTTP/1.x response in the byte stream of a connection, so that bytes after it
+ * are not read as the next response, and rejects bytes that are no response.
  */
 final class ResponseFraming {
     private static final int MAX_HEAD_BYTES = 256 * 1024;
-    private static final int LINE_FEED = '\n';
+    private static final Pattern CHUNK_SIZE =
+            Pattern.compile("([0-9A-Fa-f]{1,15})[\\t ]*(?:;[\\t\\x20-\\x7e\\x80-\\xff]*)?");
 
     private enum State {
-        HEAD,
+        STATUS_LINE,
+        HEADERS,
         FIXED,
         CHUNK_SIZE,
         CHUNK_DATA,
-        TRAILER,
+        CHUNK_END,
+        TRAILERS,
         UNTIL_CLOSE,
         DONE
     }
 
-    private final StringBuilder text = new StringBuilder();
+    private final StringBuilder line = new StringBuilder();
     private State state = State.DONE;
-    private boolean bodiless;
-    private long left;
+    private String method = "";
+    private @Nullable ResponseHead head;
+    private int parsedBytes;
+    private long leftBytes;
 
     /** Prepares for the response to a request with the given method. */
-    void begin(String method) {
-        bodiless = method.equals("HEAD");
-        text.setLength(0);
-        state = State.HEAD;
+    void begin(String sentMethod) {
+        method = sentMethod;
+        line.setLength(0);
+        parsedBytes = 0;
+        state = State.STATUS_LINE;
     }
 
     boolean done() {
@@ -40,7 +47,7 @@
     /** Returns the number of following bytes that need no parsing, as they are body data. */
     long bodyBytes() {
         return switch (state) {
-            case FIXED, CHUNK_DATA -> left;
+            case FIXED, CHUNK_DATA -> leftBytes;
             case UNTIL_CLOSE -> Long.MAX_VALUE;
             default -> 0;
         };
@@ -51,115 +58,107 @@
         if (state == State.UNTIL_CLOSE) {
             return;
         }
-        left -= bytes;
-        if (left == 0) {
-            state = state == State.CHUNK_DATA ? State.CHUNK_SIZE : State.DONE;
+        leftBytes -= bytes;
+        if (leftBytes == 0) {
+            state = state == State.CHUNK_DATA ? State.CHUNK_END : State.DONE;
         }
     }
 
-    /** Parses one byte that is not body data. */
-    void parse(byte next) {
-        text.append((char) (next & 0xff));
-        if (next == LINE_FEED) {
-            line();
-        } else if (text.length() > MAX_HEAD_BYTES) {
-            state = State.UNTIL_CLOSE;
+    /**
+     * Parses one byte that is not body data.
+     *
+     * @throws MalformedResponseException if it can't be a part of a response
+     */
+    void parse(byte next) throws MalformedResponseException {
+        parsedBytes++;
+        if (parsedBytes > MAX_HEAD_BYTES) {
+            throw new MalformedResponseException("head longer than " + MAX_HEAD_BYTES + " bytes");
+        }
+        if (next != '\n') {
+            line.append((char) (next & 0xff));
+            checkBeginning();
+            return;
+        }
+        int end = line.length() - 1;
+        if (end < 0 || line.charAt(end) != '\r') {
+            throw new MalformedResponseException("line feed without a carriage return");
+        }
+        String text = line.substring(0, end);
+        line.setLength(0);
+        endLine(text);
+    }
+
+    /** Rejects a line at its first wrong byte where bytes without a line end may be received. */
+    private void checkBeginning() throws MalformedResponseException {
+        String expected =
+                switch (state) {
+                    case STATUS_LINE -> ResponseHead.PREFIX;
+                    case CHUNK_END -> "\r";
+                    default -> "";
+                };
+        int length = line.length();
+        boolean tooLong = state == State.CHUNK_END && length > 1;
+        if (tooLong
+                || (length <= expected.length()
+                        && expected.charAt(length - 1) != line.charAt(length - 1))) {
+            throw new MalformedResponseException("unexpected bytes in place of a line");
         }
     }
 
-    private void line() {
+    private void endLine(String text) throws MalformedResponseException {
         switch (state) {
-            case HEAD -> {
-                if (endsWithEmptyLine()) {
-                    headEnded(text.toString());
-                    text.setLength(0);
-                }
+            case STATUS_LINE -> {
+                head = new ResponseHead(text);
+                state = State.HEADERS;
             }
-            case CHUNK_SIZE -> {
-                chunkSize(text.toString().trim());
-                text.setLength(0);
+            case HEADERS -> header(text);
+            case CHUNK_SIZE -> chunkSize(text);
+            case CHUNK_END -> {
+                parsedBytes = 0;
+                state = State.CHUNK_SIZE;
             }
-            case TRAILER -> {
-                if (text.toString().isBlank()) {
+            case TRAILERS -> {
+                if (text.isEmpty()) {
                     state = State.DONE;
+                } else {
+                    ResponseHead.headerLine(text);
                 }
-                text.setLength(0);
             }
             default -> throw new IllegalStateException("unexpected line in state " + state);
         }
     }
 
-    private boolean endsWithEmptyLine() {
-        int end = text.length() - 1;
-        int before = end > 0 && text.charAt(end - 1) == '\r' ? end - 2 : end - 1;
-        return before >= 0 && text.charAt(before) == LINE_FEED;
-    }
-
-    private void headEnded(String head) {
-        String[] lines = head.split("\r?\n");
-        int status = status(lines[0]);
-        if (status / 100 == 1 && status != 101) {
-            return;
-        }
-        boolean chunked = false;
-        long length = -1;
-        for (String header : lines) {
-            int colon = header.indexOf(':');
-            String name = colon < 0 ? "" : header.substring(0, colon).toLowerCase(Locale.ROOT);
-            String value = header.substring(colon + 1).trim();
-            if (name.equals("content-length")) {
-                length = number(value, 10);
-            }
-            chunked |= name.equals("transfer-encoding") && value.equalsIgnoreCase("chunked");
-        }
-        body(status, chunked, length);
-    }
-
-    private void body(int status, boolean chunked, long length) {
-        if (bodiless || status == 204 || status == 304 || (!chunked && length == 0)) {
-            state = State.DONE;
-        } else if (chunked) {
-            state = State.CHUNK_SIZE;
-        } else if (length > 0) {
-            left = length;
-            state = State.FIXED;
-        } else {
-            state = State.UNTIL_CLOSE;
+    private void header(String text) throws MalformedResponseException {
+        ResponseHead known = head;
+        if (known == null) {
+            throw new IllegalStateException("header line without a status line");
         }
-    }
-
-    private void chunkSize(String line) {
-        int semicolon = line.indexOf(';');
-        long size = number(semicolon < 0 ? line : line.substring(0, semicolon).trim(), 16);
-        if (size == 0) {
-            state = State.TRAILER;
-        } else if (size > 0) {
-            // Includes the CRLF after the chunk data.
-            left = size + 2;
-            state = State.CHUNK_DATA;
-        } else {
-            state = State.UNTIL_CLOSE;
+        if (!text.isEmpty()) {
+            known.add(text);
+            return;
         }
+        head = null;
+        state = known.interim() ? State.STATUS_LINE : afterHead(known);
     }
 
-    private static int status(String line) {
-        String[] words = line.split(" ", 3);
-        return words.length < 2 ? 0 : (int) Math.max(0, number(words[1], 10));
+    private State afterHead(ResponseHead known) {
+        return switch (known.body(method)) {
+            case NONE -> State.DONE;
+            case FIXED -> {
+                leftBytes = known.lengthBytes();
+                yield State.FIXED;
+            }
+            case CHUNKED -> State.CHUNK_SIZE;
+            case UNTIL_CLOSE -> State.UNTIL_CLOSE;
+        };
     }
 
-    private static long number(String digits, int radix) {
-        byte[] bytes = digits.getBytes(StandardCharsets.ISO_8859_1);
-        if (bytes.length == 0 || bytes.length > 15) {
-            return -1;
-        }
-        long value = 0;
-        for (byte digit : bytes) {
-            int digitValue = Character.digit(digit, radix);
-            if (digitValue < 0) {
-                return -1;
-            }
-            value = value * radix + digitValue;
+    private void chunkSize(String text) throws MalformedResponseException {
+        Matcher matcher = CHUNK_SIZE.matcher(text);
+        if (!matcher.matches()) {
+            throw new MalformedResponseException("malformed size of a chunk");
         }
-        return value;
+        leftBytes = Long.parseLong(matcher.group(1), 16);
+        state = leftBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
     }
 }
--- a/node/src/test/java/dev/zinniaring/node/CallPathTest.java
+++ b/node/src/test/java/dev/zinniaring/node/CallPathTest.java
@@ -187,6 +187,28 @@
         assertThat(server.connections()).isEqualTo(1);
     }
 
+    /** Guards against passing on an answer that stray bytes precede, or run into. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"~", "\u0000", "junk", "HTTP/1.1 503 Fu", "HTTP/1.1 503 Full~Retry-After: "})
+    void anAnswerWithStrayBytesInOrBeforeItsHeadIsReportedAsUnknown(String stray)
+            throws IOException {
+        String own = OK + "Content-Length: 3\r\n\r\nabc";
+        RawServer server = raw(List.of(own, stray.replace("~", "\r\n") + own, own), false);
+        owner.serve("s1", "katalog", server.address());
+        post(entry, "/write", new byte[0]).close();
+
+        try (Response response = post(entry, "/write", new byte[0])) {
+            assertThat(response.code()).isEqualTo(502);
+            assertThat(response.header("Zinniaring-Outcome")).isEqualTo("unknown");
+            assertThat(response.header("Zinniaring-Reason")).isEqualTo("broken");
+        }
+        try (Response response = post(entry, "/write", new byte[0])) {
+            assertThat(response.code()).isEqualTo(200);
+        }
+        assertThat(server.requests()).isEqualTo(3);
+    }
+
     /**
      * Guards against taking a late copy of the answer to an earlier run of a call for the answer to
      * a later run under the same id.
--- a/node/src/test/java/dev/zinniaring/node/RawServer.java
+++ b/node/src/test/java/dev/zinniaring/node/RawServer.java
@@ -69,8 +69,9 @@
     private void serve(Socket socket) {
         String before = "";
         try (socket) {
-            String callId = callId(socket.getInputStream());
-            while (callId != null) {
+            String head = readHead(socket.getInputStream());
+            while (head != null) {
+                String callId = header(head, "Zinniaring-Call-Id");
                 int index = Math.min(requests.getAndIncrement(), responses.size() - 1);
                 String response =
                         responses.get(index).replace("{id}", callId).replace("{before}", before);
@@ -80,18 +81,15 @@
                     return;
                 }
                 before = callId;
-                callId = callId(socket.getInputStream());
+                head = readHead(socket.getInputStream());
             }
         } catch (IOException e) {
             // The other side closed the connection, which ends the exchange of the test.
         }
     }
 
-    /**
-     * Reads a request with its body; returns the id of its call, empty if it has none, or null at
-     * the end of the connection.
-     */
-    static @Nullable String callId(InputStream in) throws IOException {
+    /** Reads a request with its body; returns its head, or null at the end of the connection. */
+    static @Nullable String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = in.read();
@@ -101,10 +99,11 @@
             head.append((char) next);
         }
         in.skipNBytes(Long.parseLong("0" + header(head, "Content-Length")));
-        return header(head, "Zinniaring-Call-Id");
+        return head.toString();
     }
 
-    private static String header(CharSequence head, String name) {
+    /** Returns the value of a header, or an empty string if it is absent. */
+    static String header(CharSequence head, String name) {
         Matcher matcher = Pattern.compile("(?i)\r\n" + name + ": *([^\r]*)").matcher(head);
         return matcher.find() ? matcher.group(1) : "";
     }
