--- a/node/src/main/java/dev/zinniaring/node/HopSocket.java
+++ b/node/src/main/java/dev/zinniaring/node/HopSocket.java
@@ -21,6 +21,7 @@
 final class HopSocket extends Socket {
     private final SocketChannel channel = SocketChannel.open();
     private final Socket socket = channel.socket();
+    private final SentCallIds sentIds = new SentCallIds();
     private @Nullable FramedInputStream input;
 
     private volatile boolean retired;
@@ -31,8 +32,8 @@
     }
 
     /**
-     * Lets no request follow the current one, as its answer does not name it: a second copy of such
-     * an answer would be taken for the answer to the next request.
+     * Lets no request follow the current one, as its response does not name it: a second copy of
+     * such a response could not be told from the next one.
      */
     void retire() {
         retired = true;
@@ -40,17 +41,26 @@
 
     /**
      * Begins a request. Returns false if the connection is not usable, as the other side has closed
-     * it or has sent unexpected bytes.
+     * it or has sent unexpected bytes, or for this call, as it has carried the call before: a late
+     * copy of the earlier response could not be told from the next one.
      */
-    boolean begin(String method) {
+    boolean begin(String method, String callId) {
         FramedInputStream known = input;
         if (retired || known == null || !known.atResponseEnd() || !idle()) {
             return false;
         }
+        if (!sentIds.add(callId)) {
+            return false;
+        }
         known.begin(method);
         return true;
     }
 
+    /** Returns whether the current request is the first on this connection. */
+    boolean firstRequest() {
+        return sentIds.count() == 1;
+    }
+
     private boolean idle() {
         try {
             channel.configureBlocking(false);
