Keep the system's headers from a client's Connection header

Cause: the entry node set its headers among the client's, and each later copy dropped what the client's Connection names, the system's headers with the rest.

Change: EntryCall first removes what the client names in Connection, but for the call id, the time limit and Host, and Connection itself, and sets the system's headers afterwards. Nothing is left that a later copy could drop.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -69,6 +69,7 @@
                 exchange.arrivedNanos()
                         + Math.min(requestedMillis, deadlineMillis) * NANOS_PER_MILLI;
         this.targetNanos = exchange.arrivedNanos() + route.targetMillis() * NANOS_PER_MILLI;
+        HopHeaders.removeConnectionOptions(headers, calls.names()::endToEnd);
         headers.set(calls.names().callerService(), calls.settings().service());
         headers.remove(calls.names().expectedServer());
         this.fingerprint = CallFingerprint.of(exchange, calls.names());
--- a/calls/src/main/java/dev/zinniaring/calls/HeaderNames.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HeaderNames.java
@@ -26,6 +26,13 @@
         String serverLimit,
         String serverLeaving) {
 
+    /** Returns whether a header that a client sends always reaches the server, maybe rewritten. */
+    boolean endToEnd(String name) {
+        return name.equalsIgnoreCase(callId)
+                || name.equalsIgnoreCase(deadlineMillis)
+                || name.equalsIgnoreCase("Host");
+    }
+
     /** Returns whether a header is set anew for each attempt of a call, by its caller or a node. */
     boolean perAttempt(String name) {
         return name.equalsIgnoreCase(callId)
--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 /** Headers that nodes exchange with each other, and the rules for forwarding headers. */
 public final class HopHeaders {
@@ -104,6 +105,24 @@
         return HOP_BY_HOP_HEADERS.contains(name);
     }
 
+    /**
+     * Removes the headers that a client names in {@code Connection} (RFC 9110, section 7.6.1), and
+     * {@code Connection} itself. What is set afterwards is forwarded whatever the client has named.
+     *
+     * @param kept tells which headers are meant for the server even if the client names them
+     */
+    static void removeConnectionOptions(HttpHeaders headers, Predicate<String> kept) {
+        for (String options : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String option : options.split(",")) {
+                String name = option.trim();
+                if (!name.isEmpty() && !kept.test(name)) {
+                    headers.remove(name);
+                }
+            }
+        }
+        headers.remove(HttpHeaderNames.CONNECTION);
+    }
+
     /** Copies the end-to-end headers, except those that only nodes may set. */
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         forEachEndToEnd(from, to::add);
--- a/calls/src/test/java/dev/zinniaring/calls/OneServerMesh.java
+++ b/calls/src/test/java/dev/zinniaring/calls/OneServerMesh.java
@@ -38,6 +38,15 @@
 
     /** Starts both nodes; the server has {@code slots} slots. */
     OneServerMesh(InetSocketAddress server, int slots) throws KernelException {
+        this(server, slots, false);
+    }
+
+    /**
+     * Starts both nodes.
+     *
+     * @param beside whether the entry node itself is the one beside the server
+     */
+    OneServerMesh(InetSocketAddress server, int slots, boolean beside) throws KernelException {
         LocalServer local =
                 new LocalServer("i1", server, slots, new ServerSettings("/health", 10), false);
         CallCounters counters = new CallCounters();
@@ -57,13 +66,19 @@
         HttpListener ownerPort = listen(new PeerCalls(owner, names));
         PeerSender peers = new PeerSender(client, names, Clock.system(), counters);
         OwnerCalls none = new OwnerCalls(client, names, Clock.system(), counters, () -> null);
+        String peerAddress = "127.0.0.1:" + ownerPort.address().getPort();
         EntryCalls entry =
                 EntryCalls.builder(
                                 new EntrySettings(
-                                        "a", "caller", "none", 1, 10, Duration.ofSeconds(10)))
+                                        "a",
+                                        "caller",
+                                        beside ? peerAddress : "none",
+                                        1,
+                                        10,
+                                        Duration.ofSeconds(10)))
                         .names(names)
                         .loop(group.next())
-                        .owner(none)
+                        .owner(beside ? owner : none)
                         .peers(peers)
                         .counters(counters)
                         .random(new SplittableRandom(1))
@@ -79,7 +94,7 @@
                                         "s",
                                         "n1",
                                         "a",
-                                        "127.0.0.1:" + ownerPort.address().getPort(),
+                                        peerAddress,
                                         1,
                                         1,
                                         2,
