Weigh calls against the time that is left once a node stops

What callers saw: in a planned stop of one node (SIGTERM, SIGKILL 6 s later), calls with a time limit of 6 s that were sent 1.6 to 2.7 s after the signal were passed on to servers, and their connections ended at 5.6 s without an answer; unsafe ones among them, whose outcome their callers then could not know.

Cause: GracefulShutdown refuses clients only after 2.7 s, and the process ends 0.4 s before the grace does, whatever still runs. Nothing compared the time that a call may take with the time until then.

Evidence: PlannedStopTest plays the stop of one of six nodes (in one process, the whole grace of 6 s) with 30 callers on kept connections, work of 0.02 to 4.5 s, safe and unsafe calls. It also checks that no refused call has run, that none is answered 502, and that short calls with a deadline of 1.5 s are all served for 2.5 s after the signal, as before.

Change: StopAdmission compares deadlines with the end of the process, fixed when the signal arrives, less 200 ms for answers to travel. Before anything is sent, also before a retry or another placement: - a call whose deadline fits is served as before; at that deadline it ends by itself; - an idempotent call that does not fit is passed on if twice its mean run time does. The server gets the time that is left as its deadline and answers itself, so that the node never answers in its place; - any other call is refused: 503, not run, with Retry-After until clients have switched, at most 0.3 of the time that they have. The owner node refuses calls of other nodes that do not fit, also those that wait for a slot, as "not run", so that their entry nodes place them elsewhere with their whole time. It does not shorten their deadlines, since another server can use all of it. A second signal does not move the end. A grace of less than 3.1 s, which was over before clients were refused, is heeded.

Counters: refused_node_stopping, owner_node_stopping.

Still cut: calls accepted before the signal that run longer than the grace.

Tests: all of calls, sidecar and platform pass (StopAdmissionTest and GracefulShutdownTest with a manual clock; StoppingNodeTest for bodies that are still read, pipelined calls, calls of other nodes, and calls that wait for a slot).

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -91,6 +92,12 @@
             failIfNoneRunning();
             return;
         }
+        OptionalLong serverDeadlineNanos = serverDeadlineNanos();
+        if (serverDeadlineNanos.isEmpty()) {
+            lastReason = StopAdmission.REASON;
+            failIfNoneRunning();
+            return;
+        }
         EndpointRecord chosen = selectServer();
         if (chosen == null) {
             if (placements == 0 && !calls.servers().of(service).isEmpty()) {
@@ -102,7 +109,7 @@
         placements++;
         tried.add(chosen.serverId());
         lastServer = chosen;
-        new Attempt(chosen).start();
+        new Attempt(chosen, serverDeadlineNanos.getAsLong()).start();
     }
 
     /** Returns whether the request must not run, as it crashes the servers that run it. */
@@ -110,6 +117,15 @@
         return calls.guard().verdict(fingerprint) == CrashGuard.Verdict.HOLD;
     }
 
+    /** Returns the deadline for a server, or empty if this node ends too soon for the call. */
+    private OptionalLong serverDeadlineNanos() {
+        return calls.stop()
+                .serverDeadlineNanos(
+                        deadlineNanos,
+                        route.route().idempotent(),
+                        calls.balancer().meanNanos(route));
+    }
+
     private @Nullable EndpointRecord selectServer() {
         return placements >= MAX_PLACEMENTS
                 ? null
@@ -157,7 +173,9 @@
     private void handleDeclined(OwnerResult result) {
         attempts++;
         lastReason = result.reason();
-        if (attemptsLeft() && calls.budget().tryTake(service)) {
+        if (attemptsLeft()
+                && serverDeadlineNanos().isPresent()
+                && calls.budget().tryTake(service)) {
             retry(result.reason());
         } else {
             failIfNoneRunning();
@@ -196,6 +214,7 @@
         return route.route().idempotent()
                 && attemptsLeft()
                 && !held()
+                && serverDeadlineNanos().isPresent()
                 && leftNanos > calls.balancer().meanNanos(route) / 2
                 && calls.budget().tryTake(service);
     }
@@ -229,6 +248,12 @@
             return Long.toString(calls.guard().timeToExpiry(fingerprint).toSeconds());
         }
         long nowNanos = clock.nanos();
+        if (calls.stop().stopping() && lastReason.equals(StopAdmission.REASON)) {
+            return RetryAfter.secondsAfter(
+                    calls.untilSwitchedNanos() / 1e6,
+                    (deadlineNanos - nowNanos) / 1e6,
+                    calls.random());
+        }
         return RetryAfter.seconds(
                 (targetNanos - nowNanos) / 1e6,
                 (deadlineNanos - nowNanos) / 1e6,
@@ -318,7 +343,7 @@
         private final OwnerJob job;
         private boolean hedged;
 
-        Attempt(EndpointRecord server) {
+        Attempt(EndpointRecord server, long serverDeadlineNanos) {
             this.server = server;
             this.job =
                     new OwnerJob(
@@ -328,7 +353,7 @@
                             route.route().name(),
                             route.targetMillis(),
                             route.rankOrder(),
-                            deadlineNanos,
+                            serverDeadlineNanos,
                             targetNanos,
                             this::ended);
             job.knownLimitPerSecond(calls.balancer().limitPerSecond(server));
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -33,6 +33,8 @@
     private final LoadBalancer balancer;
     private final RetryBudgetShare budget;
     private final CallLog log;
+    private final StopAdmission stop;
+    private long clientsSwitchedNanos;
     private boolean leaving;
 
     private EntryCalls(Builder builder) {
@@ -56,6 +58,7 @@
                                 settings.retryWindow()),
                         () -> servers.get().nodes());
         log = new CallLog(clock, counters);
+        stop = new StopAdmission(clock);
     }
 
     private boolean unreachable(EndpointRecord server) {
@@ -106,13 +109,26 @@
 
     private void refuse(Exchange exchange, String reason, String retrySeconds) {
         counters.increment("refused_" + reason.replace('-', '_'));
+        log.logDecision(
+                "refused", exchange.headers().get(names.callId(), ""), "", "reason", reason);
         Answer refusal = Answer.of(SERVICE_UNAVAILABLE);
         refusal.headers().set("Retry-After", retrySeconds);
         refusal.headers().set(HopHeaders.REASON, reason);
         exchange.answer(refusal);
     }
 
-    /** Starts shutdown: new calls are refused, since the process would end before they do. */
+    /**
+     * Starts the shutdown: from now on, calls that may outlast the process are refused.
+     *
+     * @param endNanos clock reading at which the process ends
+     * @param switchedNanos clock reading at which clients have switched to other nodes
+     */
+    public void stopAt(long endNanos, long switchedNanos) {
+        stop.stopAt(endNanos);
+        clientsSwitchedNanos = switchedNanos;
+    }
+
+    /** Refuses all further calls, once clients have had time to switch to other nodes. */
     public void startShutdown() {
         leaving = true;
     }
@@ -126,6 +142,16 @@
         return leaving;
     }
 
+    /** Returns the decisions about calls during the shutdown. */
+    StopAdmission stop() {
+        return stop;
+    }
+
+    /** Returns the time until clients have switched to other nodes, negative once they have. */
+    long untilSwitchedNanos() {
+        return clientsSwitchedNanos - clock.nanos();
+    }
+
     EntrySettings settings() {
         return settings;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -134,6 +134,14 @@
         return count;
     }
 
+    /**
+     * Returns the requests that are being handled or whose answers are not yet sent whole. Must be
+     * called on the event loop.
+     */
+    public List<Exchange> unanswered() {
+        return connections.stream().flatMap(each -> each.unanswered().stream()).toList();
+    }
+
     /** Returns the number of open connections. Must be called on the event loop. */
     public int connections() {
         return connections.size();
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -16,6 +16,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -43,7 +47,7 @@
     private boolean closing;
 
     /** Answers that were passed to the channel and are not yet written to the socket whole. */
-    private int unsentAnswers;
+    private final Set<Exchange> unsentAnswers = new HashSet<>();
 
     private long idleSinceNanos;
     private boolean advancing;
@@ -199,11 +203,12 @@
         }
         listener.addReadBytes(-turn.request().body().length);
         idleSinceNanos = listener.clock().nanos();
-        send(turn.answer(), turn.close(), turn.request().method().equals("HEAD"));
+        send(turn.request(), turn.answer(), turn.close());
         return true;
     }
 
-    private void send(Answer answer, boolean close, boolean headOnly) {
+    private void send(Exchange exchange, Answer answer, boolean close) {
+        boolean headOnly = exchange.method().equals("HEAD");
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -217,8 +222,8 @@
         }
         ChannelFuture written = write(response);
         if (written != null) {
-            unsentAnswers++;
-            written.addListener(sent -> unsentAnswers--);
+            unsentAnswers.add(exchange);
+            written.addListener(sent -> unsentAnswers.remove(exchange));
         }
         if (close) {
             dropUnstarted();
@@ -283,7 +288,14 @@
 
     /** Returns the number of requests that are being read or whose answers are not yet sent. */
     int inFlight() {
-        return pipeline.size() + unsentAnswers + (reader.readingBody() ? 1 : 0);
+        return pipeline.size() + unsentAnswers.size() + (reader.readingBody() ? 1 : 0);
+    }
+
+    /** Returns the requests that are being handled or whose answers are not yet sent whole. */
+    List<Exchange> unanswered() {
+        List<Exchange> unanswered = new ArrayList<>(pipeline.running());
+        unanswered.addAll(unsentAnswers);
+        return unanswered;
     }
 
     /**
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -54,6 +54,8 @@
     private final LocalServerLimit limit;
     private final ServerAdmission<OwnerJob> admission;
     private final CrashWatch crashes;
+    private final StopAdmission stop;
+    private final CallLog log;
     private Runnable misdirected = () -> {};
     private Consumer<String> leavingListener = serverId -> {};
     private boolean awaitingLimit;
@@ -93,6 +95,8 @@
         this.limit = new LocalServerLimit(rate, counters);
         this.admission = new ServerAdmission<>(clock, rate);
         this.crashes = new CrashWatch(client, guard, counters);
+        this.stop = new StopAdmission(clock);
+        this.log = new CallLog(clock, counters);
         this.downUntilNanos = clock.nanos();
     }
 
@@ -118,6 +122,19 @@
         leavingListener = action;
     }
 
+    /**
+     * Starts the shutdown: from now on, calls that may outlast the process are refused, also those
+     * that wait. Their entry nodes send them to other servers, with the whole time that they have.
+     *
+     * @param endNanos clock reading at which the process ends
+     */
+    public void stopAt(long endNanos) {
+        stop.stopAt(endNanos);
+        for (OwnerJob job : admission.removeIf(waiting -> !stop.fits(waiting.deadlineNanos()))) {
+            endNotRun(job, StopAdmission.REASON);
+        }
+    }
+
     /** Refuses all waiting and all further calls with the given reason. */
     public void refuse(String reason) {
         refusalReason = reason;
@@ -235,10 +252,24 @@
         if (refusalReason != null) {
             return refusalReason;
         }
+        if (!stop.fits(job.deadlineNanos())) {
+            return StopAdmission.REASON;
+        }
         return clock.nanos() < downUntilNanos ? "down" : crashes.refusal(job, server);
     }
 
     private void endNotRun(OwnerJob job, String reason) {
+        if (reason.equals(StopAdmission.REASON)) {
+            counters.increment("owner_node_stopping");
+            log.logDecision(
+                    "not-run",
+                    job.callId(),
+                    job.routeName(),
+                    "reason",
+                    reason,
+                    "left_ms",
+                    (job.deadlineNanos() - clock.nanos()) / 1_000_000L);
+        }
         // A load without a limit would make the entry node forget the limit of the server.
         boolean serverKnown = !reason.equals(NO_SERVER) && !reason.equals(OTHER_SERVER);
         job.end(OwnerResult.notRun(reason, serverKnown ? load() : null).with(crashes.suspect(job)));
--- a/calls/src/main/java/dev/zinniaring/calls/RequestPipeline.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestPipeline.java
@@ -132,14 +132,18 @@
         return first != null && first.started;
     }
 
-    /** Removes and returns the requests that were started and have no answer yet. */
+    /** Returns the requests that were started and have no answer yet. */
+    List<T> running() {
+        return entries.stream()
+                .filter(entry -> entry.started && entry.answer == null)
+                .map(Entry::request)
+                .toList();
+    }
+
+    /** Drops all requests; returns those that were started and have no answer yet. */
     List<T> cancel() {
         ended = true;
-        List<T> cancelled =
-                entries.stream()
-                        .filter(entry -> entry.started && entry.answer == null)
-                        .map(Entry::request)
-                        .toList();
+        List<T> cancelled = running();
         entries.clear();
         bytes = 0;
         return cancelled;
--- a/calls/src/main/java/dev/zinniaring/calls/RetryAfter.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RetryAfter.java
@@ -17,8 +17,23 @@
     /** Minimum delay as a fraction of the maximum delay. */
     private static final double MIN_DELAY_FRACTION = 0.3;
 
+    /** Interval over which callers return that wait for the same event. */
+    private static final double RETURN_SPREAD_MILLIS = 200;
+
     private RetryAfter() {}
 
+    /**
+     * Returns the value of a {@code Retry-After} header for callers that should return after an
+     * event, in seconds.
+     *
+     * @param eventMillis time until the event, negative once it has passed
+     * @param leftMillis time until the deadline
+     */
+    static String secondsAfter(double eventMillis, double leftMillis, RandomGenerator random) {
+        double millis = Math.max(0, eventMillis) + random.nextDouble() * RETURN_SPREAD_MILLIS;
+        return seconds(Math.min(millis, Math.max(1, MAX_DELAY_FRACTION * leftMillis)));
+    }
+
     /**
      * Returns the value of a {@code Retry-After} header, in seconds.
      *
@@ -38,6 +53,10 @@
         double earliestMillis =
                 Math.max(MIN_DELAY_FRACTION * latestMillis, Math.min(roomMillis, latestMillis));
         double millis = earliestMillis + random.nextDouble() * (latestMillis - earliestMillis);
+        return seconds(millis);
+    }
+
+    private static String seconds(double millis) {
         return String.format(Locale.ROOT, "%.3f", millis / 1000);
     }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
@@ -3,6 +3,7 @@
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.RateLimit;
 import java.util.List;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -105,6 +106,11 @@
         return limit.isSet() ? queue.removeDelayed(limit::waitNanos, clock.nanos()) : List.of();
     }
 
+    /** Removes and returns the waiting calls that match a condition. */
+    List<T> removeIf(Predicate<T> condition) {
+        return queue.removeIf(condition);
+    }
+
     /** Removes and returns all waiting calls. */
     List<T> removeAll() {
         return queue.removeAll();
--- a/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.TreeSet;
 import java.util.function.IntToLongFunction;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -186,11 +187,19 @@
 
     /** Removes and returns all calls. */
     List<T> removeAll() {
+        return removeIf(item -> true);
+    }
+
+    /** Removes and returns the calls that match a condition. */
+    List<T> removeIf(Predicate<T> condition) {
         List<T> removed = new ArrayList<>();
-        for (Entry<T> entry : waiting) {
-            removed.add(entry.item);
+        for (Iterator<Entry<T>> entries = waiting.iterator(); entries.hasNext(); ) {
+            T item = entries.next().item;
+            if (condition.test(item)) {
+                entries.remove();
+                removed.add(item);
+            }
         }
-        waiting.clear();
         return removed;
     }
 
--- a/calls/src/test/java/dev/zinniaring/calls/OneServerMesh.java
+++ b/calls/src/test/java/dev/zinniaring/calls/OneServerMesh.java
@@ -33,6 +33,7 @@
     final AtomicReference<Configuration> configuration = new AtomicReference<>();
     final AtomicBoolean leaving = new AtomicBoolean();
     final OwnerCalls owner;
+    final EntryCalls entry;
     private final HttpListener entryPort;
     private final ServerList servers;
 
@@ -57,7 +58,7 @@
         HttpListener ownerPort = listen(new PeerCalls(owner, names));
         PeerSender peers = new PeerSender(client, names, Clock.system(), counters);
         OwnerCalls none = new OwnerCalls(client, names, Clock.system(), counters, () -> null);
-        EntryCalls entry =
+        entry =
                 EntryCalls.builder(
                                 new EntrySettings(
                                         "a", "caller", "none", 1, 10, Duration.ofSeconds(10)))
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/GracefulShutdown.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/GracefulShutdown.java
@@ -1,9 +1,10 @@
 package dev.zinniaring.sidecar;
 
+import dev.zinniaring.calls.CutCalls;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.Scheduler;
 import java.time.Duration;
-import java.util.function.IntSupplier;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,19 +29,23 @@
 
     private static final Duration CHECK_PERIOD = Duration.ofMillis(50);
 
-    private final Duration grace;
+    private final Duration runTime;
     private final Clock clock;
     private final Scheduler scheduler;
-    private final IntSupplier inFlight;
+    private final CallsInFlight calls;
     private boolean started;
     private long startNanos;
 
-    GracefulShutdown(
-            SidecarSettings settings, Clock clock, Scheduler scheduler, IntSupplier inFlight) {
-        this.grace = settings.grace();
+    /**
+     * Creates a shutdown.
+     *
+     * @param grace time between the termination request and the forced kill
+     */
+    GracefulShutdown(Duration grace, Clock clock, Scheduler scheduler, CallsInFlight calls) {
+        this.runTime = grace.minus(KILL_MARGIN);
         this.clock = clock;
         this.scheduler = scheduler;
-        this.inFlight = inFlight;
+        this.calls = calls;
     }
 
     boolean started() {
@@ -48,30 +53,44 @@
     }
 
     /**
-     * Starts the shutdown.
+     * Starts the shutdown; a later call has no effect. From now on, calls that may outlast the
+     * process are refused.
      *
-     * @param refusePeers starts refusing calls of other nodes; run once those know of the shutdown
-     * @param refuseClients starts refusing calls of clients; run once they have had time to switch
-     *     to other nodes
+     * @param requestedNanos clock reading of the termination request
      * @param onStopped run when the process may exit
      */
-    void start(Runnable refusePeers, Runnable refuseClients, Runnable onStopped) {
+    void start(long requestedNanos, Runnable onStopped) {
+        if (started) {
+            return;
+        }
         started = true;
-        startNanos = clock.nanos();
-        scheduler.after(PEER_NOTICE_DELAY, refusePeers);
-        scheduler.after(
-                CLIENT_NOTICE_DELAY,
+        startNanos = requestedNanos;
+        log.info("shutting down in_flight={} run_ms={}", calls.count(), runTime.toMillis());
+        calls.stopAt(startNanos + runTime.toNanos(), startNanos + CLIENT_NOTICE_DELAY.toNanos());
+        at(PEER_NOTICE_DELAY, calls::refusePeers);
+        at(
+                runTime.compareTo(CLIENT_NOTICE_DELAY) < 0 ? runTime : CLIENT_NOTICE_DELAY,
                 () -> {
-                    refuseClients.run();
+                    calls.refuseClients();
                     exitWhenIdle(onStopped);
                 });
     }
 
+    /** Runs a task at a time after the termination request. */
+    private void at(Duration elapsed, Runnable task) {
+        Duration delay = elapsed.minus(clock.since(startNanos));
+        scheduler.after(delay.isNegative() ? Duration.ZERO : delay, task);
+    }
+
     private void exitWhenIdle(Runnable onStopped) {
         Duration elapsed = clock.since(startNanos);
-        int remaining = inFlight.getAsInt();
-        if (remaining == 0 || elapsed.compareTo(grace.minus(KILL_MARGIN)) >= 0) {
+        int remaining = calls.count();
+        if (remaining == 0 || elapsed.compareTo(runTime) >= 0) {
             log.info("stopped in_flight={} after_ms={}", remaining, elapsed.toMillis());
+            List<String> cut = calls.ids();
+            if (!cut.isEmpty()) {
+                log.warn("cut calls {}", CutCalls.text(cut));
+            }
             onStopped.run();
             return;
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -176,7 +176,7 @@
         configurationWatcher.onFailure(gossip::push);
         activeConfiguration.onChange(() -> scheduler.execute(this::onConfigurationChanged));
         this.probe = new ServerProbe(client, names, settings.server());
-        this.shutdown = new GracefulShutdown(settings, clock, scheduler, this::inFlight);
+        this.shutdown = gracefulShutdown(names);
         this.localRecord =
                 new LocalRecordPublisher(
                         settings,
@@ -188,6 +188,14 @@
         this.nodesTable = nodesTable();
     }
 
+    private GracefulShutdown gracefulShutdown(HeaderNames names) {
+        return new GracefulShutdown(
+                settings.grace(),
+                clock,
+                scheduler,
+                new ListenerCalls(callListener, peerListener, calls, names));
+    }
+
     private NodesTable nodesTable() {
         return new NodesTable(
                 store, settings.nodeId(), directory, writer, localRecord, gossip::isReader);
@@ -461,26 +469,16 @@
      * thread; only the first call has an effect.
      */
     public void shutDown(Runnable onStopped) {
+        long requestedNanos = clock.nanos();
         scheduler.execute(
                 () -> {
-                    if (shutdown.started()) {
-                        return;
+                    if (!shutdown.started()) {
+                        shutdown.start(requestedNanos, onStopped);
+                        localRecord.publish();
                     }
-                    log.info("shutting down node={} in_flight={}", settings.nodeId(), inFlight());
-                    callListener.drain();
-                    peerListener.drain();
-                    shutdown.start(
-                            () -> calls.owner().refuse("node-leaving"),
-                            calls.entry()::startShutdown,
-                            onStopped);
-                    localRecord.publish();
                 });
     }
 
-    private int inFlight() {
-        return callListener.inFlight() + peerListener.inFlight();
-    }
-
     /** Returns the current state. Must be called on the event loop. */
     public SidecarState state() {
         return new SidecarState(
