Do not abandon calls at silent nodes from the termination request on

What callers saw: a node that had got SIGTERM answered 502 to an idempotent call that a server was still running, when the owner node answered two probes late.

Evidence: SilentNodeTest.aCallIsNotAbandonedWhileAStoppingNodeStillServesClients, without the changed line: expected: "200 late" but was: "502 "

Change: the call is kept from the start of the shutdown on.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -139,7 +139,7 @@
     }
 
     boolean leaving() {
-        return leaving;
+        return leaving || stop.stopping();
     }
 
     /** Returns the decisions about calls during the shutdown. */
--- a/calls/src/test/java/dev/zinniaring/calls/SilentNodeTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/SilentNodeTest.java
@@ -244,15 +244,28 @@
     /** A node that shuts down must not abort calls that a server is still running for it. */
     @Test
     void aCallIsNotAbandonedByANodeThatShutsDown() throws Exception {
+        assertThat(answerDespiteSilence(() -> entry.startShutdown())).isEqualTo("200 late");
+    }
+
+    /** The same call was abandoned in the part of the shutdown in which calls are still served. */
+    @Test
+    void aCallIsNotAbandonedWhileAStoppingNodeStillServesClients() throws Exception {
+        long endNanos = System.nanoTime() + Duration.ofMinutes(1).toNanos();
+        assertThat(answerDespiteSilence(() -> entry.stopAt(endNanos, endNanos)))
+                .isEqualTo("200 late");
+    }
+
+    /** Makes a call whose owner node is silent for a while after the entry node starts to stop. */
+    private String answerDespiteSilence(Runnable stop) throws Exception {
         addSilentNode();
         int port = startEntryNode(10);
         CountDownLatch suspected = suspicion();
         var call = call(port);
-        group.execute(entry::startShutdown);
+        group.execute(stop);
         assertThat(suspected.await(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
         // The second and third probes fail within this time.
         TimeUnit.MILLISECONDS.sleep(2_200);
         silenceEnds.countDown();
-        assertThat(answer(call)).isEqualTo("200 late");
+        return answer(call);
     }
 }
