--- a/node/src/test/java/dev/zinniaring/node/RawServer.java
+++ b/node/src/test/java/dev/zinniaring/node/RawServer.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -19,10 +20,17 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final String response;
     private final boolean close;
+    private final CountDownLatch release;
 
     RawServer(String response, boolean close) throws IOException {
+        this(response, close, new CountDownLatch(0));
+    }
+
+    /** Starts a server that holds each request until the latch is released. */
+    RawServer(String response, boolean close, CountDownLatch release) throws IOException {
         this.response = response;
         this.close = close;
+        this.release = release;
         Thread thread = new Thread(this::serve, "raw-server");
         thread.setDaemon(true);
         thread.start();
@@ -60,6 +68,7 @@
         try (socket) {
             while (readHead(socket.getInputStream())) {
                 requests.incrementAndGet();
+                release.await();
                 socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
                 socket.getOutputStream().flush();
                 if (close) {
@@ -68,6 +77,8 @@
             }
         } catch (IOException e) {
             // The other side closed the connection, which ends the exchange of the test.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
