Fail an answer in whose head another status line begins

Callers could get a success where the server had answered with a failure, or the reverse: an answer that broke off in its head ran into the server's second answer on the connection ("HTTP/1.1 200 FuHTTP/1.1 500 Reason"), so that the status of the first was passed on with the id, the marks and the body of the second. A reason phrase and a header value may hold such text by the grammar, so AnswerHead rejects it by itself.

MistakenAnswersTest: the two new cases failed before ("200 odd" for 502).

--- a/calls/src/main/java/dev/zinniaring/calls/AnswerHead.java
+++ b/calls/src/main/java/dev/zinniaring/calls/AnswerHead.java
@@ -18,15 +18,31 @@
 
     /** Returns whether the readable bytes could be the start of a status line. */
     static boolean mayBegin(ByteBuf bytes) {
-        int count = Math.min(bytes.readableBytes(), REASON_AT + 1);
+        return mayBegin(bytes, bytes.readerIndex(), bytes.writerIndex());
+    }
+
+    private static boolean mayBegin(ByteBuf bytes, int start, int end) {
+        int count = Math.min(end - start, REASON_AT + 1);
         for (int i = 0; i < count; i++) {
-            if (!mayStand(bytes.getByte(bytes.readerIndex() + i), i)) {
+            if (!mayStand(bytes.getByte(start + i), i)) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Returns whether a status line begins inside a line, as when an answer breaks off in one. */
+    private static boolean hasStatusLine(ByteBuf bytes, int from, int end) {
+        for (int at = bytes.indexOf(from, end, VERSION.byteAt(0));
+                at >= 0 && end - at >= REASON_AT;
+                at = bytes.indexOf(at + 1, end, VERSION.byteAt(0))) {
+            if (mayBegin(bytes, at, Math.min(end, at + REASON_AT))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static boolean mayStand(byte found, int position) {
         if (position < VERSION.length()) {
             return found == VERSION.byteAt(position);
@@ -80,7 +96,7 @@
             statusLine = false;
             line = lineEnd + 2;
         }
-        return true;
+        return !hasStatusLine(bytes, start + 1, end);
     }
 
     private static boolean isStatusLine(ByteBuf bytes, int start, int end) {
--- a/calls/src/test/java/dev/zinniaring/calls/MistakenAnswersTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MistakenAnswersTest.java
@@ -120,6 +120,8 @@
                 "HTTP/1.1 2000 OK",
                 "HTTP/1.1 20 OK",
                 "HTTP/1.1 200 O\u0001K",
+                "HTTP/1.1 200 FuHTTP/1.1 500 Reason",
+                "HTTP/1.1 200 OK\r\nX-Cut: abHTTP/1.0 500 Reason",
                 "HTTP/1.1 200 OK\r\nno colon",
                 "HTTP/1.1 200 OK\r\nX-Folded: a\r\n b",
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
