Use no connection again that holds undecoded bytes, and find answers inside answers

Callers could get a success where the server had answered with a failure: a late answer that broke off in its head stayed undecoded on an idle connection and ran into the answer to the next call; an answer whose body broke off on an open connection was filled up by the server's second answer. Class: reuse of a connection whose bytes are not all accounted for. Bytes that arrive while no request waits, or are left undecoded behind an answer, now close the connection; a body that holds a status line and, behind it, the id of the call, an id among the trailers, a doubled id, and a reason phrase that names the protocol fail the answer. AnswerHead checks each line when it has arrived, so that a line end without CR fails at once. Dropped answers name the last call on the connection, and cancelled runs stand in latestRuns.

--- a/calls/src/main/java/dev/zinniaring/calls/AnswerBody.java
+++ b/calls/src/main/java/dev/zinniaring/calls/AnswerBody.java
@@ -1,6 +1,9 @@
 package dev.zinniaring.calls;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -25,6 +28,20 @@
         return count + PIECE_OVERHEAD_BYTES;
     }
 
+    /**
+     * Returns whether a body contains the status line of an answer and, behind it, the id of a
+     * request.
+     */
+    static boolean containsAnswer(byte[] body, String id) {
+        ByteBuf bytes = Unpooled.wrappedBuffer(body);
+        int statusLine = AnswerHead.indexOfStatusLine(bytes, 0, body.length);
+        if (statusLine < 0) {
+            return false;
+        }
+        ByteBuf rest = bytes.slice(statusLine, body.length - statusLine);
+        return ByteBufUtil.indexOf(Unpooled.copiedBuffer(id, StandardCharsets.US_ASCII), rest) >= 0;
+    }
+
     /** Returns the whole body. */
     byte[] toByteArray() {
         if (pieces.size() == 1) {
--- a/calls/src/main/java/dev/zinniaring/calls/AnswerDecoder.java
+++ b/calls/src/main/java/dev/zinniaring/calls/AnswerDecoder.java
@@ -17,17 +17,17 @@
 
 /**
  * Decodes HTTP responses. The response to a HEAD request has no body, whatever its Content-Length.
- * A head is decoded once it is complete and has passed {@link AnswerHead}; bytes that cannot become
- * a head are reported as a failed response as soon as they arrive.
+ * A head is decoded once {@link AnswerHead} has found it complete and valid; bytes that cannot
+ * become a head are reported as a failed response as soon as they arrive.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
     /** Maximum size of the status line, of all headers and of all trailers of an answer. */
     static final int MAX_HEAD_BYTES = 64 * 1024;
 
+    private final AnswerHead head = new AnswerHead();
     private boolean headOnly;
     private boolean atHead = true;
     private boolean failed;
-    private int scannedBytes;
 
     AnswerDecoder() {
         super(
@@ -63,26 +63,19 @@
         }
     }
 
+    /** Returns whether bytes were received that are not decoded yet. */
+    boolean holdsBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     /** Returns whether a complete, valid head can be read. */
     private boolean headComplete(ByteBuf bytes, List<Object> decoded) {
-        if (!AnswerHead.mayBegin(bytes)) {
-            fail(bytes, decoded);
-            return false;
-        }
-        int length = AnswerHead.length(bytes, scannedBytes);
-        if (length < 0) {
-            scannedBytes = bytes.readableBytes();
-            if (scannedBytes > MAX_HEAD_BYTES) {
-                fail(bytes, decoded);
-            }
-            return false;
-        }
-        scannedBytes = 0;
-        if (!AnswerHead.isValid(bytes, length)) {
+        AnswerHead.State state = head.check(bytes);
+        if (state == AnswerHead.State.INVALID
+                || bytes.readableBytes() > MAX_HEAD_BYTES && state == AnswerHead.State.INCOMPLETE) {
             fail(bytes, decoded);
-            return false;
         }
-        return true;
+        return state == AnswerHead.State.VALID;
     }
 
     private void fail(ByteBuf bytes, List<Object> decoded) {
--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -66,6 +66,7 @@
     private final CarriedIds carriedIds = new CarriedIds();
     private final long number;
     private String echo = "";
+    private String lastId = "";
     private int requests;
     private int foreignAnswers;
     private int interimAnswers;
@@ -126,6 +127,7 @@
     private void recordId(OutboundRequest sent, ResponseListener answers) {
         String id = id(sent);
         answers.onSend(number, requests, id != null && carriedIds.contains(id));
+        lastId = id == null ? "" : id;
         if (id != null) {
             carriedIds.add(id);
         }
@@ -178,6 +180,10 @@
 
     /** Records bytes that the decoder is about to read. */
     void bytesArrived(int bytes) {
+        if (listener == null) {
+            // Also if they are too few to be decoded, they would precede the next answer.
+            notReusable = true;
+        }
         undecodedBytes += bytes;
         if (undecodedBytes > MAX_UNDECODED_BYTES) {
             failMalformed();
@@ -192,8 +198,8 @@
     }
 
     /**
-     * Returns whether an answer names two requests, or has a transfer coding other than chunked, so
-     * that its body would be passed on coded.
+     * Returns whether an answer names its request twice, or has a transfer coding other than
+     * chunked, so that its body would be passed on coded.
      */
     private boolean ambiguous(HttpResponse response) {
         HttpHeaders headers = response.headers();
@@ -203,7 +209,7 @@
                         && !(codings.size() == 1
                                 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
                                         codings.get(0).trim()));
-        return coded || (!echo.isEmpty() && headers.getAll(echo).stream().distinct().count() > 1);
+        return coded || (!echo.isEmpty() && headers.getAll(echo).size() > 1);
     }
 
     private void process(HttpObject object) {
@@ -235,7 +241,8 @@
 
     /** Reports an answer that is not taken, to the request that waits if there is one. */
     private void drop(String echoedId, int status, String reason) {
-        DroppedAnswer dropped = new DroppedAnswer(number, requests, echoedId, status, reason);
+        DroppedAnswer dropped =
+                new DroppedAnswer(number, requests, lastId, echoedId, status, reason);
         ResponseListener waiting = listener;
         if (waiting != null) {
             waiting.onDropped(dropped);
@@ -263,7 +270,12 @@
 
     private void appendBody(HttpResponse response, HttpContent content) {
         long addedBytes = body.append(content.content());
-        if (content instanceof LastHttpContent) {
+        if (content instanceof LastHttpContent last) {
+            if (!echo.isEmpty() && last.trailingHeaders().contains(echo)) {
+                // The head of another answer was read as trailers.
+                failMalformed();
+                return;
+            }
             head = null;
             client.receiveBudget().release(this);
             finishAnswer(response);
@@ -292,6 +304,10 @@
         Answer answer =
                 new Answer(response.status().code(), response.headers(), body.toByteArray());
         body = new AnswerBody();
+        if (containsSecondAnswer(answer)) {
+            failMalformed();
+            return;
+        }
         if (closeRequested()
                 || !HttpUtil.isKeepAlive(response)
                 || delimitedByClose(response)
@@ -311,6 +327,12 @@
         }
     }
 
+    /** Returns whether the body broke off and ran into another answer to the same request. */
+    private boolean containsSecondAnswer(Answer answer) {
+        String id = request == null ? null : id(request);
+        return id != null && AnswerBody.containsAnswer(answer.body(), id);
+    }
+
     private AnswerMatch match(HttpResponse response) {
         OutboundRequest sent = request;
         if (sent == null || sent.echo().isEmpty()) {
@@ -378,6 +400,13 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext read) {
+        AnswerDecoder decoding = decoder;
+        if (listener == null && decoding != null && decoding.holdsBytes()) {
+            notReusable = true;
+        }
+        if (listener == null && notReusable) {
+            close();
+        }
         if (readyForReuse && !notReusable && read.channel().isActive()) {
             readyForReuse = false;
             becomeIdle();
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -315,6 +315,7 @@
             job.onCancel(
                     () -> {
                         sending.cancel();
+                        tracer.cancelled();
                         guarded(CrashGuard.Run::failed);
                         admission.runTimes().abandoned(job.routeName(), clock.nanos() - startNanos);
                         release();
--- a/calls/src/main/java/dev/zinniaring/calls/RunLog.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RunLog.java
@@ -49,9 +49,9 @@
         return new Tracer(job, serverId);
     }
 
-    /** Records an answer that arrived while no call was waiting for one. */
+    /** Records an answer that arrived behind that of the last call on its connection. */
     void unrequested(DroppedAnswer answer) {
-        logDropped("", "", answer);
+        logDropped(answer.lastId(), "", answer);
     }
 
     /** Returns the latest runs, oldest first. */
@@ -124,6 +124,11 @@
             end(outcome);
         }
 
+        /** Records that the call was cancelled, for example because its caller has left. */
+        void cancelled() {
+            end("cancelled");
+        }
+
         /** Records and logs a failure. */
         void failed(String reason) {
             log("run-failed", reason);
--- a/calls/src/test/java/dev/zinniaring/calls/MistakenAnswersTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MistakenAnswersTest.java
@@ -122,6 +122,8 @@
                 "HTTP/1.1 200 O\u0001K",
                 "HTTP/1.1 200 FuHTTP/1.1 500 Reason",
                 "HTTP/1.1 200 OK\r\nX-Cut: abHTTP/1.0 500 Reason",
+                "HTTP/1.1 200 Fuhttp/1.1 500 Reason",
+                "HTTP/1.1 200 OK\nX: y",
                 "HTTP/1.1 200 OK\r\nno colon",
                 "HTTP/1.1 200 OK\r\nX-Folded: a\r\n b",
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
@@ -134,6 +136,39 @@
         assertThat(server.requests).hasSize(1);
     }
 
+    /** The body breaks off, and the second answer fills it up. */
+    @Test
+    void aSuccessWhoseBodyRunsIntoASecondAnswerIsNotPassedOn() throws Exception {
+        String second = named(500, "failure");
+        String first = named(200, "x".repeat(second.length() + 4));
+        String cut = first.substring(0, first.length() - second.length());
+        server.answers.add(cut + second);
+        assertThat(call("c1", "POST", "/once/1")).isEqualTo("502 ");
+    }
+
+    /** The start of a late answer stays undecoded while no call waits. */
+    @Test
+    void aLateAnswerThatBreaksOffInItsHeadDoesNotRunIntoTheAnswerToTheNextCall() throws Exception {
+        server.answers.add(named(200, "first") + "HTTP/1.1 200 OK\r\nX-Cut: ab");
+        assertThat(call("c1", "POST", "/once/1")).isEqualTo("200 first");
+        server.answers.add(named(404, "own"));
+        assertThat(call("c2", "POST", "/once/2")).isEqualTo("404 own");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200",
+                "HTTP/1.1 200 ",
+                "HTTP/1.0 200 OK\r\nConnection: keep-alive",
+                "HTTP/1.1 200 OK\r\nX-Empty:",
+                "HTTP/1.1 200 Gr\u00fc\u00df\r\nVia: HTTP/1.1 proxy"
+            })
+    void anUnusualHeadWithinTheGrammarIsPassedOn(String start) throws Exception {
+        server.answers.add(named(200, "own").replace("HTTP/1.1 200 Reason", start));
+        assertThat(call("c1", "POST", "/once/1")).isEqualTo("200 own");
+    }
+
     /** The pool has no second server, so the first answer is the only one there is. */
     @Test
     void theFailureOfAServerIsNotReplacedByARefusalWhenNoOtherServerIsLeft() throws Exception {
