Close a connection whose next request has lost a byte

A caller that sends its next request while a call still runs could have that request read without its first byte ("OST /write"), on a kept connection: once a call has run for 50 ms, ClientDisconnectWatch reads one byte to tell a close from a pipelined request, and the connection is closed after the answer if there was one. A watch that was stopped between its check and that read reported no byte, so that the connection was kept.

The read now excludes the stop, which then knows of the byte.

Found by reading, not seen in a call.

--- a/node/src/main/java/dev/zinniaring/node/ClientDisconnectWatch.java
+++ b/node/src/main/java/dev/zinniaring/node/ClientDisconnectWatch.java
@@ -34,7 +34,7 @@
     private boolean started;
     private boolean ended;
 
-    private ClientDisconnectWatch(AbstractEndPoint endPoint, Cancellation cancellation) {
+    ClientDisconnectWatch(AbstractEndPoint endPoint, Cancellation cancellation) {
         this.endPoint = endPoint;
         this.cancellation = cancellation;
     }
@@ -85,9 +85,15 @@
 
         @Override
         public void succeeded() {
-            if (stopped) {
-                return;
+            synchronized (ClientDisconnectWatch.this) {
+                // A byte that is read after the stop would be missing from the next request.
+                if (!stopped) {
+                    read();
+                }
             }
+        }
+
+        private void read() {
             try {
                 ByteBuffer one = BufferUtil.allocate(1);
                 int count = endPoint.fill(one);
