Log which answer was dropped, and why, on the own path

An answer that was dropped since it may belong to another call, or is malformed, left only a count of refusals by reason at the entry node, and none at all if a repeat succeeded. HopClient now writes one line for each: the call's id, the address, the status and ids of the answer and how many requests its connection had carried, or what is malformed in it. So a copy of an earlier answer is told from a server that names no calls, and both from junk:

call c3-2 to 127.0.0.1:41409: dropped an answer: answer 200 names [c3-1], to request 2 on its connection call c2-2 to 127.0.0.1:41409: dropped an answer: malformed line in the head of a response

The ids in a line are at most 128 characters each; control characters do not get through the check of the head.

--- a/node/src/main/java/dev/zinniaring/node/CallContextFactory.java
+++ b/node/src/main/java/dev/zinniaring/node/CallContextFactory.java
@@ -12,7 +12,7 @@
     /** Maximum depth of a chain of calls. */
     static final int MAX_DEPTH = 28;
 
-    private static final int MAX_ID_CHARS = 128;
+    static final int MAX_ID_CHARS = 128;
     private static final int LEAST_URGENT = Integer.MAX_VALUE;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
--- a/node/src/main/java/dev/zinniaring/node/HopClient.java
+++ b/node/src/main/java/dev/zinniaring/node/HopClient.java
@@ -16,6 +16,8 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Sends requests to nodes and backend servers over persistent connections. Sends each request at
@@ -23,6 +25,7 @@
  * thread.
  */
 final class HopClient implements AutoCloseable {
+    private static final Logger log = LoggerFactory.getLogger(HopClient.class);
     private static final int MAX_IDLE_CONNECTIONS = 1_024;
     private static final int KEEP_ALIVE_SECONDS = 50;
     private static final int MAX_STALE_CONNECTIONS = 256;
@@ -75,6 +78,21 @@
     /** Thrown if a response may belong to another call. */
     private static final class ForeignResponseException extends IOException {
         private static final long serialVersionUID = 1L;
+
+        ForeignResponseException(Response response, int requests) {
+            super(
+                    "answer %d names %s, to request %d on its connection"
+                            .formatted(
+                                    response.code(),
+                                    response.headers(CallHeaders.CALL_ID).stream()
+                                            .map(HopClient::shortened)
+                                            .toList(),
+                                    requests));
+        }
+    }
+
+    private static String shortened(String id) {
+        return id.substring(0, Math.min(id.length(), CallContextFactory.MAX_ID_CHARS));
     }
 
     private static EventListener listener(Call call) {
@@ -109,10 +127,10 @@
                         sentId,
                         response.headers(CallHeaders.CALL_ID),
                         response.code(),
-                        socket.firstRequest());
+                        socket.requests() == 1);
         if (origin == ResponseOrigin.FOREIGN) {
             socket.close();
-            throw new ForeignResponseException();
+            throw new ForeignResponseException(response, socket.requests());
         }
         if (origin == ResponseOrigin.UNNAMED) {
             socket.retire();
@@ -156,6 +174,15 @@
                     throw new HopException(HopException.Kind.NOT_SENT, e);
                 }
             } catch (IOException e) {
+                if (e instanceof ForeignResponseException
+                        || e instanceof MalformedResponseException) {
+                    log.warn(
+                            "call {} to {}:{}: dropped an answer: {}",
+                            callId(request),
+                            request.url().host(),
+                            request.url().port(),
+                            e.getMessage());
+                }
                 throw new HopException(kind(e, progress, cancellation), e);
             }
         }
--- a/node/src/main/java/dev/zinniaring/node/HopSocket.java
+++ b/node/src/main/java/dev/zinniaring/node/HopSocket.java
@@ -56,9 +56,9 @@
         return true;
     }
 
-    /** Returns whether the current request is the first on this connection. */
-    boolean firstRequest() {
-        return sentIds.count() == 1;
+    /** Returns the number of requests on this connection, with the current one. */
+    int requests() {
+        return sentIds.count();
     }
 
     private boolean idle() {
