--- a/node/src/test/java/dev/zinniaring/node/CallPathTest.java
+++ b/node/src/test/java/dev/zinniaring/node/CallPathTest.java
@@ -239,6 +239,23 @@
         }
     }
 
+    /** Guards against a false "not run" from a late copy of another node's refusal. */
+    @Test
+    void aRefusalOfAnotherNodeThatMayBelongToAnEarlierCallIsReportedAsUnknown() throws IOException {
+        String own = OK + "Zinniaring-Outcome: ran\r\nContent-Length: 3\r\n\r\nabc";
+        String late =
+                "HTTP/1.1 503 Full\r\nZinniaring-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+        RawServer peer = raw(List.of(own, late + own), false);
+        mesh.servePeer("s1", peer.address());
+        post(entry, "/write", new byte[0]).close();
+
+        try (Response response = post(entry, "/write", new byte[0])) {
+            assertThat(response.code()).isEqualTo(502);
+            assertThat(response.header("Zinniaring-Outcome")).isEqualTo("unknown");
+        }
+        assertThat(peer.requests()).isEqualTo(2);
+    }
+
     /** Guards against answers of a node that its callers cannot tell from those to other calls. */
     @ParameterizedTest
     @ValueSource(strings = {"/nowhere", "/write"})
--- a/node/src/test/java/dev/zinniaring/node/TestMesh.java
+++ b/node/src/test/java/dev/zinniaring/node/TestMesh.java
@@ -125,6 +125,25 @@
         return node;
     }
 
+    /** Registers a backend server of a node that the test plays. */
+    void servePeer(String serverId, InetSocketAddress address) {
+        records.put(
+                serverId,
+                new EndpointRecord(
+                        serverId,
+                        "katalog",
+                        "peer",
+                        "zone",
+                        HopRequests.text(address),
+                        1,
+                        1,
+                        6,
+                        100,
+                        EndpointState.READY,
+                        0));
+        changed();
+    }
+
     List<EndpointRecord> records() {
         return List.copyOf(records.values());
     }
