Refuse transfer codings other than chunked alone

What callers saw: a request with `Transfer-Encoding: x, chunked`, `xchunked`, `chunked` and then `x` in a second line, or a coding of no known name beside a length was run. The header is not forwarded, so that the server got chunks that another reader would have decoded, or a request whose body the node took for the next request.

Cause: the decoder takes a request for chunked if any of its codings is named so, and for one without a body or with a length otherwise. RFC 9112, sections 6.1 and 6.3: the end of such a body is not certain.

Change: RequestFraming, a pure class that the own path can use as well, allows `chunked` alone, in HTTP/1.1 and without a length. RequestReader answers all else with 400 and closes the connection.

--- a/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
@@ -5,9 +5,11 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -81,7 +83,9 @@
         head = request;
         body = new ByteArrayOutputStream(0);
         headReadNanos = clock.nanos();
-        if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
+        if (!wellFormed(request)) {
+            reject(BAD_REQUEST);
+        } else if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
             reject(PAYLOAD_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(request)) {
             listener.onContinueExpected();
@@ -90,6 +94,16 @@
         }
     }
 
+    /** Returns whether the head leaves no doubt about the end of the body. */
+    private static boolean wellFormed(HttpRequest request) {
+        HttpHeaders headers = request.headers();
+        boolean withLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+        return RequestFraming.unambiguous(
+                headers.getAll(HttpHeaderNames.TRANSFER_ENCODING),
+                withLength,
+                request.protocolVersion().equals(HttpVersion.HTTP_1_1));
+    }
+
     private void append(HttpRequest request, HttpContent content) {
         ByteBuf bytes = content.content();
         if (body.size() + bytes.readableBytes() > limits.get().maxBodyBytes()) {
