Refuse requests with two hosts

What callers saw: a request with two Host lines was routed by the first, and both went on to the server, which may choose by the other one. RFC 9112, section 3.2, asks for 400.

Found by the generator of doubtful requests, whose strict server refused it.

Evidence: MalformedRequestTest.twoHostsAreRefused on the code before: read timed out behind an answer that kept the connection open. It passes with the change.

--- a/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
@@ -94,14 +94,15 @@
         }
     }
 
-    /** Returns whether the head leaves no doubt about the end of the body. */
+    /** Returns whether the head names one host and one end of the body. */
     private static boolean wellFormed(HttpRequest request) {
         HttpHeaders headers = request.headers();
         boolean withLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-        return RequestFraming.unambiguous(
-                headers.getAll(HttpHeaderNames.TRANSFER_ENCODING),
-                withLength,
-                request.protocolVersion().equals(HttpVersion.HTTP_1_1));
+        return headers.getAll(HttpHeaderNames.HOST).size() <= 1
+                && RequestFraming.unambiguous(
+                        headers.getAll(HttpHeaderNames.TRANSFER_ENCODING),
+                        withLength,
+                        request.protocolVersion().equals(HttpVersion.HTTP_1_1));
     }
 
     private void append(HttpRequest request, HttpContent content) {
--- a/calls/src/test/java/dev/zinniaring/calls/MalformedRequestTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MalformedRequestTest.java
@@ -90,4 +90,10 @@
         assertRefused(
                 "POST /a HTTP/1.0~Host: h~Connection: keep-alive~Transfer-Encoding: chunked~~0~~");
     }
+
+    /** The route is chosen by one host; a server may take the other one (RFC 9112, section 3.2). */
+    @Test
+    void twoHostsAreRefused() throws Exception {
+        assertRefused("GET /a HTTP/1.1~Host: h~Host: other~~");
+    }
 }
