Refuse control characters and other versions in request lines

What callers saw: targets with a NUL, DEL or another control character were forwarded as they came, and requests of HTTP/2.0 or `http/1.1` as ones of HTTP/1.1.

Cause: the decoder of Netty takes any character but line ends in a target, and any version. RequestDecoder checks both. It also sets the strict line ends and the framing of RFC 9112, so that these no longer hang on system properties of the library.

Found by the generator of doubtful requests.

--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -13,7 +13,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -207,7 +206,7 @@
             socket.pipeline()
                     .addLast(
                             new ReceiveObserver(connection),
-                            new HttpRequestDecoder(config),
+                            new RequestDecoder(config),
                             new HttpResponseEncoder(),
                             connection);
         }
--- /dev/null
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestDecoder.java
@@ -0,0 +1,33 @@
+package dev.zinniaring.calls;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes requests and takes only request lines of HTTP/1.0 and HTTP/1.1 (RFC 9112, section 3). The
+ * parent also takes control characters in the target, and other versions.
+ */
+final class RequestDecoder extends HttpRequestDecoder {
+    private static final int METHOD_TARGET_VERSION = 3;
+
+    RequestDecoder(HttpDecoderConfig config) {
+        super(config.setStrictLineParsing(true).setUseRfc9112TransferEncoding(true));
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] requestLine) throws Exception {
+        if (requestLine.length != METHOD_TARGET_VERSION || !isTarget(requestLine[1])) {
+            throw new IllegalArgumentException("malformed request line");
+        }
+        String version = requestLine[2];
+        if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
+            throw new IllegalArgumentException("unsupported version");
+        }
+        return super.createMessage(requestLine);
+    }
+
+    private static boolean isTarget(String text) {
+        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c != '\u007f');
+    }
+}
--- a/calls/src/test/java/dev/zinniaring/calls/MalformedRequestTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MalformedRequestTest.java
@@ -96,4 +96,19 @@
     void twoHostsAreRefused() throws Exception {
         assertRefused("GET /a HTTP/1.1~Host: h~Host: other~~");
     }
+
+    /** Control characters in a target end a request line, or a log line, for other readers. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /a\0b HTTP/1.1",
+                "GET /a\u007f HTTP/1.1",
+                "GET /a\u0001 HTTP/1.1",
+                "GET /a HTTP/2.0",
+                "GET /a http/1.1",
+                "GET /a XTTP/1.1"
+            })
+    void aRequestLineBeyondTheGrammarIsRefused(String line) throws Exception {
+        assertRefused(line + "~Host: h~~");
+    }
 }
