Refuse requests whose length the decoder guesses

What callers saw: a GET with the two keys of an old WebSocket handshake and no length took the first eight bytes of the next request on the connection for its body. A request of HTTP/1.0 with two lengths was read by the first, although another reader may take the second.

Cause: both are rules of Netty's decoder, which cannot be set otherwise. It leaves one length only, so that the second cannot be seen afterwards.

Change: RequestReader refuses a length that no header gives; RequestHeaders takes no second Content-Length while the request is decoded. Both end in 400 and a closed connection.

Evidence: MalformedRequestTest on the code before: anOldWebSocketHandshakeIsRefused failed, and twoLengthsAreRefused with HTTP/1.0. Both pass with the change.

--- a/calls/src/main/java/dev/zinniaring/calls/RequestDecoder.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestDecoder.java
@@ -12,7 +12,10 @@
     private static final int METHOD_TARGET_VERSION = 3;
 
     RequestDecoder(HttpDecoderConfig config) {
-        super(config.setStrictLineParsing(true).setUseRfc9112TransferEncoding(true));
+        super(
+                config.setStrictLineParsing(true)
+                        .setUseRfc9112TransferEncoding(true)
+                        .setHeadersFactory(RequestHeaders.FACTORY));
     }
 
     @Override
--- a/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
@@ -98,7 +98,10 @@
     private static boolean wellFormed(HttpRequest request) {
         HttpHeaders headers = request.headers();
         boolean withLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-        return headers.getAll(HttpHeaderNames.HOST).size() <= 1
+        // The decoder takes eight bytes behind an old WebSocket handshake for its body.
+        boolean assumedLength = !withLength && HttpUtil.getContentLength(request, 0L) > 0;
+        return !assumedLength
+                && headers.getAll(HttpHeaderNames.HOST).size() <= 1
                 && RequestFraming.unambiguous(
                         headers.getAll(HttpHeaderNames.TRANSFER_ENCODING),
                         withLength,
--- a/calls/src/test/java/dev/zinniaring/calls/MalformedRequestTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MalformedRequestTest.java
@@ -111,4 +111,19 @@
     void aRequestLineBeyondTheGrammarIsRefused(String line) throws Exception {
         assertRefused(line + "~Host: h~~");
     }
+
+    /** Guards against eight bytes of the next request that are taken for a body. */
+    @Test
+    void anOldWebSocketHandshakeIsRefused() throws Exception {
+        assertRefused("GET /a HTTP/1.1~Host: h~Sec-WebSocket-Key1: 1~Sec-WebSocket-Key2: 2~~");
+    }
+
+    /** Guards against a body that ends at the first of two lengths. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.0", "HTTP/1.1"})
+    void twoLengthsAreRefused(String version) throws Exception {
+        assertRefused(
+                "POST /a %s~Host: h~Connection: keep-alive~Content-Length: 0~Content-Length: 3~~"
+                        .formatted(version));
+    }
 }
