Refuse transfer codings other than chunked alone on the own path

What callers saw: a request with `Transfer-Encoding: x, chunked`, with `x` in a line before `chunked`, or with chunks in HTTP/1.0 was run, and its server got the body without the coding that it still had.

Cause: Jetty takes a body for chunked if that is the last coding, and refuses only the others. CallListener now asks RequestFraming, like the users' path. Where Jetty itself refuses a request, for another reason, it read on behind a body that it had framed so; CallErrorHandler now closes the connection.

Evidence: InvalidRequestTest on the code before: the three rows on codings failed. All rows pass with the change.

--- a/node/src/main/java/dev/zinniaring/node/CallErrorHandler.java
+++ b/node/src/main/java/dev/zinniaring/node/CallErrorHandler.java
@@ -16,6 +16,8 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         fill(response.getHeaders());
+        // The parser may have read its body by a framing that the listener would have refused.
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
         response.write(true, body(), callback);
         return true;
     }
--- a/node/src/main/java/dev/zinniaring/node/CallListener.java
+++ b/node/src/main/java/dev/zinniaring/node/CallListener.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.node;
 
+import dev.zinniaring.calls.RequestFraming;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import java.nio.channels.ServerSocketChannel;
@@ -11,7 +12,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -181,9 +184,20 @@
         if (request.getMethod().equals("CONNECT")) {
             return CallException.notRun(BAD_REQUEST, "bad-method");
         }
+        if (!framed(request)) {
+            return CallException.notRun(BAD_REQUEST, "bad-framing");
+        }
         return null;
     }
 
+    private static boolean framed(Request request) {
+        HttpFields headers = request.getHeaders();
+        return RequestFraming.unambiguous(
+                headers.getValuesList(HttpHeader.TRANSFER_ENCODING),
+                headers.contains(HttpHeader.CONTENT_LENGTH),
+                request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1);
+    }
+
     private void refuse(
             Request request, Response response, Callback callback, CallException refusal) {
         refused.increment();
--- a/node/src/test/java/dev/zinniaring/node/InvalidRequestTest.java
+++ b/node/src/test/java/dev/zinniaring/node/InvalidRequestTest.java
@@ -59,6 +59,12 @@
                 "bad version         | GET /write HTTP/9.9~Host: a~~ | 505",
                 "path that climbs    | GET /read/%2e%2e/write HTTP/1.1~Host: a~~ | 400",
                 "connect             | CONNECT a:80 HTTP/1.1~Host: a~~ | 400",
+                "coding before       | POST /write HTTP/1.1~Host: a~Transfer-Encoding: x, chunked~~0~~"
+                        + " | 400",
+                "two codings         | POST /write HTTP/1.1~Host: a~Transfer-Encoding: x~"
+                        + "Transfer-Encoding: chunked~~0~~ | 400",
+                "coding in 1.0       | POST /write HTTP/1.0~Host: a~Transfer-Encoding: chunked~~"
+                        + "0~~ | 400",
                 "get with a body     | GET /write HTTP/1.1~Host: a~Content-Length: 1~~x | 400",
                 "unknown route       | GET /nowhere HTTP/1.1~Host: a~~ | 404",
                 "bad owner hop       | GET /nowhere HTTP/1.1~Host: a~Zinniaring-Owner-Hop: s1~~"
