Refuse line ends without CR on the own path

What callers saw: a header line with a bare LF in it was read as two, so that a client behind another reader could add a header, a length among them, that this reader had not seen.

Cause: Jetty's default mode for requests takes LF alone as a line end. The listener for calls now uses its strict mode.

Evidence: InvalidRequestTest on the code before: the row "line without CR" failed. It passes with the change.

--- a/node/src/main/java/dev/zinniaring/node/CallListener.java
+++ b/node/src/main/java/dev/zinniaring/node/CallListener.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpVersion;
@@ -88,6 +89,7 @@
     private HttpConfiguration http() {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(limits.maxHeaderBytes());
+        http.setHttpCompliance(HttpCompliance.STRICT);
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         http.setMaxUnconsumedRequestContentReads(4);
--- a/node/src/test/java/dev/zinniaring/node/InvalidRequestTest.java
+++ b/node/src/test/java/dev/zinniaring/node/InvalidRequestTest.java
@@ -65,6 +65,7 @@
                         + "Transfer-Encoding: chunked~~0~~ | 400",
                 "coding in 1.0       | POST /write HTTP/1.0~Host: a~Transfer-Encoding: chunked~~"
                         + "0~~ | 400",
+                "line without CR     | GET /write HTTP/1.1~Host: a~X: b{lf}Y: c~~ | 400",
                 "get with a body     | GET /write HTTP/1.1~Host: a~Content-Length: 1~~x | 400",
                 "unknown route       | GET /nowhere HTTP/1.1~Host: a~~ | 404",
                 "bad owner hop       | GET /nowhere HTTP/1.1~Host: a~Zinniaring-Owner-Hop: s1~~"
@@ -151,6 +152,7 @@
         return text.replace("{5000}", "y".repeat(5_000))
                 .replace("{headers}", headers)
                 .replace("~", "\r\n")
+                .replace("{lf}", "\n")
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
 
