Keep the host and the key of a call on the own path

What callers saw: a client that named Host or Idempotency-Key in Connection took them away on the way to the server, which then got the address of its node or of itself as the host. The system's own headers were set last and stayed.

Change: HopRequests forwards Host and the two headers of the key whatever the client names.

--- a/node/src/main/java/dev/zinniaring/node/CallHeaders.java
+++ b/node/src/main/java/dev/zinniaring/node/CallHeaders.java
@@ -44,6 +44,13 @@
 
     private CallHeaders() {}
 
+    /** Returns whether a header is forwarded even if the client names it in {@code Connection}. */
+    static boolean endToEnd(String name) {
+        return name.equalsIgnoreCase("Host")
+                || name.equalsIgnoreCase(IDEMPOTENCY_KEY)
+                || name.equalsIgnoreCase(IDEMPOTENCY_RESEND);
+    }
+
     /** Returns whether a header is forwarded unchanged. */
     static boolean forwarded(String name) {
         String lowerCase = name.toLowerCase(Locale.ROOT);
--- a/node/src/main/java/dev/zinniaring/node/HopRequests.java
+++ b/node/src/main/java/dev/zinniaring/node/HopRequests.java
@@ -61,8 +61,8 @@
             String name = field.getName();
             String value = field.getValue();
             if (CallHeaders.forwarded(name)
-                    && (ofConnection.isEmpty()
-                            || !ofConnection.contains(field.getLowerCaseName()))) {
+                    && (!ofConnection.contains(field.getLowerCaseName())
+                            || CallHeaders.endToEnd(name))) {
                 headers.addUnsafeNonAscii(name, value == null ? "" : value);
             }
         }
