Send targets on as they came on the own path

What callers saw: a server got another target than the client sent: `/read/./x` arrived as `/read/x`, and bytes over 0x7F arrived escaped.

Cause: OkHttp normalizes the URL of each request.

Change: the URL of a request names only the node or server; its target goes with the request as a tag, and RequestOutputStream of the socket writes it into the request line. Targets that are not UTF-8 are refused with 400, by Jetty, as are those with a fragment; two rows of InvalidRequestTest now hold that.

--- a/node/src/main/java/dev/zinniaring/node/HopClient.java
+++ b/node/src/main/java/dev/zinniaring/node/HopClient.java
@@ -79,7 +79,8 @@
         Connection connection = chain.connection();
         if (connection == null
                 || !(connection.socket() instanceof HopSocket socket)
-                || !socket.begin(chain.request().method())) {
+                || !socket.begin(
+                        chain.request().method(), chain.request().tag(RequestTarget.class))) {
             throw stale(connection);
         }
         Response response = chain.proceed(chain.request());
--- a/node/src/main/java/dev/zinniaring/node/HopRequests.java
+++ b/node/src/main/java/dev/zinniaring/node/HopRequests.java
@@ -24,7 +24,7 @@
      */
     static Request.Builder of(CallContext call, String to, long leftNanos) throws CallException {
         Exchange exchange = call.exchange();
-        HttpUrl url = HttpUrl.parse("http://" + to + exchange.target());
+        HttpUrl url = HttpUrl.parse("http://" + to + "/");
         if (url == null) {
             throw CallException.notRun(400, "bad-target");
         }
@@ -37,7 +37,11 @@
         headers.set(CallHeaders.DEPTH, Integer.toString(call.depth()));
         headers.set(CallHeaders.ATTEMPT, Integer.toString(call.attempt()));
         headers.set(CallHeaders.CALL_ID, call.callId());
-        Request.Builder request = new Request.Builder().url(url).headers(headers.build());
+        Request.Builder request =
+                new Request.Builder()
+                        .url(url)
+                        .tag(RequestTarget.class, RequestTarget.of(exchange.target()))
+                        .headers(headers.build());
         return withBody(request, call);
     }
 
--- a/node/src/main/java/dev/zinniaring/node/HopSocket.java
+++ b/node/src/main/java/dev/zinniaring/node/HopSocket.java
@@ -22,6 +22,7 @@
     private final SocketChannel channel = SocketChannel.open();
     private final Socket socket = channel.socket();
     private @Nullable FramedInputStream input;
+    private @Nullable RequestOutputStream output;
 
     private volatile boolean retired;
 
@@ -41,13 +42,17 @@
     /**
      * Begins a request. Returns false if the connection is not usable, as the other side has closed
      * it or has sent unexpected bytes.
+     *
+     * @param target written in place of the target in the URL, or null
      */
-    boolean begin(String method) {
-        FramedInputStream known = input;
-        if (retired || known == null || !known.atResponseEnd() || !idle()) {
+    boolean begin(String method, @Nullable RequestTarget target) {
+        FramedInputStream in = input;
+        RequestOutputStream out = output;
+        if (retired || in == null || out == null || !in.atResponseEnd() || !idle()) {
             return false;
         }
-        known.begin(method);
+        in.begin(method);
+        out.begin(target);
         return true;
     }
 
@@ -73,8 +78,13 @@
     }
 
     @Override
-    public OutputStream getOutputStream() throws IOException {
-        return socket.getOutputStream();
+    public synchronized OutputStream getOutputStream() throws IOException {
+        RequestOutputStream known = output;
+        if (known == null) {
+            known = new RequestOutputStream(socket.getOutputStream());
+            output = known;
+        }
+        return known;
     }
 
     @Override
--- a/node/src/test/java/dev/zinniaring/node/InvalidRequestTest.java
+++ b/node/src/test/java/dev/zinniaring/node/InvalidRequestTest.java
@@ -66,6 +66,8 @@
                 "coding in 1.0       | POST /write HTTP/1.0~Host: a~Transfer-Encoding: chunked~~"
                         + "0~~ | 400",
                 "line without CR     | GET /write HTTP/1.1~Host: a~X: b{lf}Y: c~~ | 400",
+                "fragment            | GET /write#x HTTP/1.1~Host: a~~ | 400",
+                "target not in UTF-8 | GET /write/caf{e9} HTTP/1.1~Host: a~~ | 400",
                 "get with a body     | GET /write HTTP/1.1~Host: a~Content-Length: 1~~x | 400",
                 "unknown route       | GET /nowhere HTTP/1.1~Host: a~~ | 404",
                 "bad owner hop       | GET /nowhere HTTP/1.1~Host: a~Zinniaring-Owner-Hop: s1~~"
@@ -153,6 +155,7 @@
                 .replace("{headers}", headers)
                 .replace("~", "\r\n")
                 .replace("{lf}", "\n")
+                .replace("{e9}", "\u00e9")
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
 
