--- a/node/src/main/java/dev/zinniaring/node/HopClient.java
+++ b/node/src/main/java/dev/zinniaring/node/HopClient.java
@@ -105,7 +105,10 @@
         String callId = callId(chain.request());
         if (connection == null
                 || !(connection.socket() instanceof HopSocket socket)
-                || !socket.begin(chain.request().method(), callId)) {
+                || !socket.begin(
+                        chain.request().method(),
+                        callId,
+                        chain.request().tag(RequestTarget.class))) {
             throw stale(connection);
         }
         Response response = chain.proceed(chain.request());
--- a/node/src/main/java/dev/zinniaring/node/HopSocket.java
+++ b/node/src/main/java/dev/zinniaring/node/HopSocket.java
@@ -23,6 +23,7 @@
     private final Socket socket = channel.socket();
     private final SentCallIds sentIds = new SentCallIds();
     private @Nullable FramedInputStream input;
+    private @Nullable RequestOutputStream output;
 
     private volatile boolean retired;
 
@@ -43,16 +44,20 @@
      * Begins a request. Returns false if the connection is not usable, as the other side has closed
      * it or has sent unexpected bytes, or for this call, as it has carried the call before: a late
      * copy of the earlier response could not be told from the next one.
+     *
+     * @param target written in place of the target in the URL, or null
      */
-    boolean begin(String method, String callId) {
-        FramedInputStream known = input;
-        if (retired || known == null || !known.atResponseEnd() || !idle()) {
+    boolean begin(String method, String callId, @Nullable RequestTarget target) {
+        FramedInputStream in = input;
+        RequestOutputStream out = output;
+        if (retired || in == null || out == null || !in.atResponseEnd() || !idle()) {
             return false;
         }
         if (!sentIds.add(callId)) {
             return false;
         }
-        known.begin(method);
+        in.begin(method);
+        out.begin(target);
         return true;
     }
 
@@ -83,8 +88,13 @@
     }
 
     @Override
-    public OutputStream getOutputStream() throws IOException {
-        return socket.getOutputStream();
+    public synchronized OutputStream getOutputStream() throws IOException {
+        RequestOutputStream known = output;
+        if (known == null) {
+            known = new RequestOutputStream(socket.getOutputStream());
+            output = known;
+        }
+        return known;
     }
 
     @Override
