Watch the configuration also while the zone's reader has lost the store

A node now watches the configuration itself once its reader's state is 1.3 s old; the store holds a reader's long poll for 0.6 s, so that it is confirmed about once a second.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -47,6 +47,12 @@
     /** A node whose state the store has not confirmed for this long is no reader candidate. */
     private static final long STALE_MILLIS = 2_500;
 
+    /**
+     * A reader that answers, but whose state the store has not confirmed for this long, may have
+     * lost the store; it is confirmed about once a second otherwise.
+     */
+    private static final long BLIND_READER_MILLIS = 1_300;
+
     /** Time for this zone's own reader to deliver a change seen at a node of another zone. */
     private static final long READER_GRACE_NANOS = 700_000_000L;
 
@@ -71,7 +77,7 @@
     private boolean pullingServers;
     private final GossipRounds rounds = new GossipRounds();
 
-    /** Whether the zone's reader did not answer and none has answered since. */
+    /** Whether the zone's reader did not answer, or not with a confirmed state, when asked last. */
     private boolean readerSilent;
 
     /** The directory's nodes in the order in which they read for the zone, sorted once a change. */
@@ -151,8 +157,8 @@
     }
 
     /**
-     * Returns whether the zone's reader did not answer when it was asked last. The node then
-     * watches the configuration itself, since the other readers may be silent too.
+     * Returns whether the zone's reader did not answer, or has lost the store, when it was asked
+     * last. The node then watches the configuration itself, since other readers may be no better.
      */
     boolean readerSilent() {
         return readerSilent;
@@ -217,8 +223,8 @@
         failedNanos.remove(address);
         try {
             Digest theirs = Digest.decode(answer.body());
-            if (ofReader && theirs.ageMillis() <= STALE_MILLIS) {
-                readerSilent = false;
+            if (ofReader) {
+                readerSilent = theirs.ageMillis() > BLIND_READER_MILLIS;
             }
             reconcile(theirs, address, true);
         } catch (SidecarException e) {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -41,9 +41,10 @@
 
     /**
      * Longest time for which the store holds a long poll for the configuration. Short, since a dead
-     * connection is noticed only by the missing response.
+     * connection is noticed only by the missing response, and tells other nodes when it was last
+     * confirmed.
      */
-    private static final Duration CONFIGURATION_POLL_TIMEOUT = Duration.ofMillis(1_500);
+    private static final Duration CONFIGURATION_POLL_TIMEOUT = Duration.ofMillis(600);
 
     /** Same for the nodes table; longer, since nodes also push these changes to each other. */
     private static final Duration NODES_POLL_TIMEOUT = Duration.ofSeconds(5);
