Notice a client that leaves while its requests wait

Cause: a connection with more than 256 KB of unanswered bodies, or any while all hold 2 MB, was not read, and the end of a connection is only seen by reading. So Exchange.cancel was never called, at the entry node as well as at the node of the server.

Change: ReadAhead stands in front of the decoder. What pauses is the decoder; the socket is read on into a buffer of 64 KB a connection, so that the end is seen. When the buffer is full, nothing more is read and the client waits as before. A short read is copied, since its buffer may have 64 KB for some bytes.

Not covered: a client that pipelines more than 64 KB behind an unanswered request and then leaves is noticed when the decoder goes on.

--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -5,8 +5,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -206,28 +204,10 @@
             InboundConnection connection = new InboundConnection(HttpListener.this);
             socket.pipeline()
                     .addLast(
-                            new ReceiveObserver(connection),
+                            connection.readAhead(),
                             new HttpRequestDecoder(config),
                             new HttpResponseEncoder(),
                             connection);
         }
     }
-
-    /**
-     * Notifies a connection of received bytes before they are decoded, so that the header timeout
-     * also covers incomplete heads.
-     */
-    private static final class ReceiveObserver extends ChannelInboundHandlerAdapter {
-        private final InboundConnection connection;
-
-        ReceiveObserver(InboundConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.bytesArrived();
-            context.fireChannelRead(message);
-        }
-    }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -21,9 +21,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * An inbound connection of a listener. It keeps reading while requests are being handled, so that a
- * disconnect is detected immediately, unless so many are unanswered that the client has to wait.
- * {@link RequestPipeline} decides which requests run and which answer is sent next.
+ * An inbound connection of a listener. It reads while requests are being handled, so that a
+ * disconnect is detected immediately. What a client sends while too much is unanswered is not
+ * decoded, and read only as far as {@link ReadAhead} has room. {@link RequestPipeline} decides
+ * which requests run and which answer is sent next.
  */
 final class InboundConnection extends ChannelInboundHandlerAdapter
         implements RequestReader.Listener {
@@ -35,6 +36,7 @@
     private final HttpListener listener;
     private final RequestReader reader;
     private final RequestPipeline<Exchange, Answer> pipeline = new RequestPipeline<>();
+    private final ReadAhead readAhead = new ReadAhead(this::bytesArrived);
     private @Nullable ChannelHandlerContext context;
     private boolean headStarted;
     private long headStartedNanos;
@@ -94,8 +96,12 @@
         advance();
     }
 
+    ReadAhead readAhead() {
+        return readAhead;
+    }
+
     /** Records when the head of the next request starts to arrive. */
-    void bytesArrived() {
+    private void bytesArrived() {
         if (!reader.readingBody() && !headStarted) {
             headStarted = true;
             headStartedNanos = listener.clock().nanos();
@@ -266,19 +272,12 @@
         return open.write(response);
     }
 
-    /** Stops reading while too much is unanswered, and resumes it afterwards. */
+    /** Stops decoding requests while too much is unanswered, and resumes it afterwards. */
     void updateReading() {
-        ChannelHandlerContext open = context;
-        if (open == null) {
-            return;
-        }
-        boolean wait =
+        readAhead.pause(
                 !closing
                         && !pipeline.isEmpty()
-                        && (pipeline.full() || listener.readAheadFull() || !writable());
-        if (open.channel().config().isAutoRead() == wait) {
-            open.channel().config().setAutoRead(!wait);
-        }
+                        && (pipeline.full() || listener.readAheadFull() || !writable()));
     }
 
     /** Returns the number of requests that are being read or whose answers are not yet sent. */
@@ -292,7 +291,7 @@
      */
     void checkTimeouts(long nowNanos) {
         ChannelHandlerContext open = context;
-        if (open == null || lastRequestRead || !open.channel().config().isAutoRead()) {
+        if (open == null || lastRequestRead || readAhead.paused()) {
             return;
         }
         ClientLimits limits = listener.limits();
