Bound the memory for request bodies and read a body only with room for it

Cause: a body was read as soon as it came, into a buffer that doubles, and copied when it was complete; nothing bounded the sum. The heap has 28 MB.

Change: BodyBudget is the one place that decides. It has 0.36 of the heap for the listeners of callers and of peers together. A long body (above 64 KB) claims its length before it is read; what does not fit waits in order of arrival with some 48 KB a connection and is not read, for at most 500 ms, and is then refused with 503 (truly not run, with Retry-After), as is at once what can never fit. Neither side can take all room, since nodes that send each other bodies would wait in a circle. A fifth of the budget is only for short bodies and for connections that wait. A body of known length is kept in one array and not copied; one of unknown length grows while there is room. A client that sends too slowly while others wait for its room is refused. Reads from sockets of listeners are at most 16 KB, and 16 KB are read ahead of a decoder that is paused (was 64 KB).

Why it works: what is held no longer depends on how many clients send. Readiness and announcements have listeners, and so budgets, of their own.

Not covered: answers under way keep the bound of their own (ReceiveBudget, 6 MB); an urgent call with a long body waits as the others do; a long body's room is given back when its answer is sent, not when the body has been forwarded.

--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -3,6 +3,7 @@
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -38,6 +39,12 @@
 
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /** Largest read from a socket; bounds the memory for a connection that has to wait. */
+    static final int MAX_RECEIVE_BYTES = 16 * 1024;
+
+    private static final int MIN_RECEIVE_BYTES = 64;
+    private static final int FIRST_RECEIVE_BYTES = 2 * 1024;
+
     /**
      * Body bytes of the unanswered requests of all connections beyond which no pipelined requests
      * are read.
@@ -48,6 +55,8 @@
     private final Clock clock;
     private final Supplier<ClientLimits> limits;
     private final ExchangeHandler handler;
+    private final BodyBudget budget;
+    private final BodyBudget.Share bodies;
     private final Set<InboundConnection> connections = new HashSet<>();
     private @Nullable Channel channel;
     private boolean draining;
@@ -64,10 +73,27 @@
             Clock clock,
             Supplier<ClientLimits> limits,
             ExchangeHandler handler) {
+        this(loop, clock, limits, handler, BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    /** Creates a listener that keeps the bodies of requests within a budget. */
+    HttpListener(
+            EventLoopGroup loop,
+            Clock clock,
+            Supplier<ClientLimits> limits,
+            ExchangeHandler handler,
+            BodyBudget budget) {
         this.loop = loop;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
+        this.budget = budget;
+        this.bodies = budget.share();
+    }
+
+    /** Returns another listener, which shares the budget for bodies with this one. */
+    public HttpListener sibling(Supplier<ClientLimits> siblingLimits, ExchangeHandler calls) {
+        return new HttpListener(loop, clock, siblingLimits, calls, budget);
     }
 
     /**
@@ -83,6 +109,10 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                        MIN_RECEIVE_BYTES, FIRST_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
                         .childHandler(new ConnectionInitializer());
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -157,6 +187,10 @@
         return clock;
     }
 
+    BodyBudget.Share bodies() {
+        return bodies;
+    }
+
     ExchangeHandler handler() {
         return handler;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.util.IdentityHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +30,18 @@
 final class InboundConnection extends ChannelInboundHandlerAdapter
         implements RequestReader.Listener {
     private static final int REQUEST_TIMEOUT = 408;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    /** Wait for memory after which a request is refused, so that it can be sent elsewhere. */
+    private static final long MAX_MEMORY_WAIT_MILLIS = 500;
+
+    private static final String MEMORY_RETRY_SECONDS = "0.2";
+
+    /** Progress of a body between two checks below which it must not keep others waiting. */
+    private static final int MIN_PROGRESS_BYTES = 16 * 1024;
+
+    /** Consecutive checks without that progress after which a body is refused. */
+    private static final int MAX_SLOW_CHECKS = 2;
 
     /** Time in which a client is expected to read the last answer and to close the connection. */
     private static final long LINGER_MILLIS = 1_000;
@@ -37,7 +50,11 @@
     private final RequestReader reader;
     private final RequestPipeline<Exchange, Answer> pipeline = new RequestPipeline<>();
     private final ReadAhead readAhead = new ReadAhead(this::bytesArrived);
+    private final IdentityHashMap<Exchange, BodyBudget.Claim> claims = new IdentityHashMap<>();
     private @Nullable ChannelHandlerContext context;
+    private BodyBudget.@Nullable Claim readingClaim;
+    private int checkedBodyBytes;
+    private int slowChecks;
     private boolean headStarted;
     private long headStartedNanos;
     private boolean lastRequestRead;
@@ -67,6 +84,9 @@
         closing = true;
         listener.closed(this, pipeline.bytes());
         pipeline.cancel().forEach(Exchange::cancel);
+        claims.values().forEach(BodyBudget.Claim::release);
+        claims.clear();
+        releaseReadingClaim();
     }
 
     @Override
@@ -115,6 +135,29 @@
         advance();
     }
 
+    @Override
+    public BodyBudget.Claim claim(long bytes) {
+        BodyBudget.Claim claim = listener.bodies().claim(bytes, this::updateReading);
+        readingClaim = claim;
+        checkedBodyBytes = 0;
+        slowChecks = 0;
+        updateReading();
+        return claim;
+    }
+
+    private void releaseReadingClaim() {
+        BodyBudget.Claim claim = readingClaim;
+        readingClaim = null;
+        if (claim != null) {
+            claim.release();
+        }
+    }
+
+    private boolean waitsForMemory() {
+        BodyBudget.Claim claim = readingClaim;
+        return claim != null && claim.waiting();
+    }
+
     @Override
     public void onRequest(HttpRequest head, byte[] body, long headReadNanos) {
         headStarted = false;
@@ -136,6 +179,11 @@
                         lastRequestRead,
                         body.length);
         listener.addReadBytes(body.length);
+        BodyBudget.Claim claim = readingClaim;
+        if (claim != null) {
+            claims.put(exchange, claim);
+            readingClaim = null;
+        }
         advance();
     }
 
@@ -144,10 +192,22 @@
         headStarted = false;
         continueExpected = false;
         lastRequestRead = true;
-        pipeline.addRejected(Exchange.unread(listener.clock().nanos()), Answer.of(status));
+        releaseReadingClaim();
+        pipeline.addRejected(Exchange.unread(listener.clock().nanos()), rejection(status));
         advance();
     }
 
+    private static Answer rejection(int status) {
+        Answer answer = Answer.of(status);
+        if (status == SERVICE_UNAVAILABLE) {
+            answer.headers().set("Retry-After", MEMORY_RETRY_SECONDS);
+            answer.headers()
+                    .set(HopHeaders.OUTCOME, OwnerResult.Outcome.NOT_RUN.headerValue())
+                    .set(HopHeaders.REASON, "no-memory");
+        }
+        return answer;
+    }
+
     /** Starts the requests that may run and sends the answers whose turn it is. */
     private void advance() {
         if (advancing) {
@@ -204,6 +264,10 @@
             return false;
         }
         listener.addReadBytes(-turn.request().body().length);
+        BodyBudget.Claim claim = claims.remove(turn.request());
+        if (claim != null) {
+            claim.release();
+        }
         idleSinceNanos = listener.clock().nanos();
         send(turn.answer(), turn.close(), turn.request().method().equals("HEAD"));
         return true;
@@ -272,12 +336,11 @@
         return open.write(response);
     }
 
-    /** Stops decoding requests while too much is unanswered, and resumes it afterwards. */
+    /** Stops decoding requests while there is no room for them, and resumes it afterwards. */
     void updateReading() {
-        readAhead.pause(
-                !closing
-                        && !pipeline.isEmpty()
-                        && (pipeline.full() || listener.readAheadFull() || !writable()));
+        boolean manyUnanswered =
+                !pipeline.isEmpty() && (pipeline.full() || listener.readAheadFull() || !writable());
+        readAhead.pause(!closing && (waitsForMemory() || manyUnanswered));
     }
 
     /** Returns the number of requests that are being read or whose answers are not yet sent. */
@@ -291,7 +354,20 @@
      */
     void checkTimeouts(long nowNanos) {
         ChannelHandlerContext open = context;
-        if (open == null || lastRequestRead || readAhead.paused()) {
+        if (open == null || lastRequestRead) {
+            return;
+        }
+        if (waitsForMemory()) {
+            if (nowNanos - reader.headReadNanos() > nanos(MAX_MEMORY_WAIT_MILLIS)) {
+                reader.reject(SERVICE_UNAVAILABLE);
+            }
+            return;
+        }
+        if (readAhead.paused()) {
+            return;
+        }
+        if (delaysOthers()) {
+            reader.reject(SERVICE_UNAVAILABLE);
             return;
         }
         ClientLimits limits = listener.limits();
@@ -309,6 +385,19 @@
         }
     }
 
+    /** Returns whether a slow client holds memory for which the bodies of others wait. */
+    private boolean delaysOthers() {
+        BodyBudget.Claim claim = readingClaim;
+        int readBytes = reader.bodyBytes();
+        boolean slow = readBytes - checkedBodyBytes < MIN_PROGRESS_BYTES;
+        checkedBodyBytes = readBytes;
+        slowChecks = slow ? slowChecks + 1 : 0;
+        return claim != null
+                && claim.isLong()
+                && listener.bodies().contended()
+                && slowChecks >= MAX_SLOW_CHECKS;
+    }
+
     private static long nanos(long millis) {
         return millis * 1_000_000L;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/ReadAhead.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ReadAhead.java
@@ -15,7 +15,7 @@
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter {
     /** Buffered bytes beyond which nothing is read while the decoder is paused. */
-    static final int MAX_BYTES = 64 * 1024;
+    static final int MAX_BYTES = 16 * 1024;
 
     /** Memory for a buffer besides its bytes. */
     private static final int BUFFER_OVERHEAD_BYTES = 64;
--- a/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import java.io.ByteArrayOutputStream;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -21,12 +20,13 @@
     private static final int PAYLOAD_TOO_LARGE = 413;
     private static final int EXPECTATION_FAILED = 417;
     private static final int HEADERS_TOO_LARGE = 431;
+    private static final int SERVICE_UNAVAILABLE = 503;
 
     private final Clock clock;
     private final Supplier<ClientLimits> limits;
     private final Listener listener;
     private @Nullable HttpRequest head;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private @Nullable RequestBody body;
     private long headReadNanos;
     private boolean rejected;
 
@@ -35,6 +35,13 @@
         /** Called when the client waits for {@code 100 Continue} before it sends the body. */
         void onContinueExpected();
 
+        /**
+         * Claims memory for the body of a request whose head has been read.
+         *
+         * @param bytes size of the body; 0 if it is not known
+         */
+        BodyBudget.Claim claim(long bytes);
+
         /**
          * Called when a request has been read in full.
          *
@@ -79,11 +86,20 @@
 
     private void begin(HttpRequest request) {
         head = request;
-        body = new ByteArrayOutputStream(0);
         headReadNanos = clock.nanos();
-        if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
+        boolean chunked = HttpUtil.isTransferEncodingChunked(request);
+        long length = chunked ? 0 : HttpUtil.getContentLength(request, 0L);
+        if (length > limits.get().maxBodyBytes()) {
             reject(PAYLOAD_TOO_LARGE);
-        } else if (HttpUtil.is100ContinueExpected(request)) {
+            return;
+        }
+        BodyBudget.Claim claim = listener.claim(length);
+        if (claim.refused()) {
+            reject(SERVICE_UNAVAILABLE);
+            return;
+        }
+        body = new RequestBody(claim, chunked ? -1 : (int) length);
+        if (HttpUtil.is100ContinueExpected(request)) {
             listener.onContinueExpected();
         } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
             reject(EXPECTATION_FAILED);
@@ -91,18 +107,19 @@
     }
 
     private void append(HttpRequest request, HttpContent content) {
-        ByteBuf bytes = content.content();
-        if (body.size() + bytes.readableBytes() > limits.get().maxBodyBytes()) {
-            reject(PAYLOAD_TOO_LARGE);
+        RequestBody reading = body;
+        if (reading == null) {
             return;
         }
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        body.write(copy, 0, copy.length);
-        if (content instanceof LastHttpContent) {
-            byte[] complete = body.toByteArray();
+        ByteBuf bytes = content.content();
+        if (reading.size() + bytes.readableBytes() > limits.get().maxBodyBytes()) {
+            reject(PAYLOAD_TOO_LARGE);
+        } else if (!reading.append(bytes)) {
+            reject(SERVICE_UNAVAILABLE);
+        } else if (content instanceof LastHttpContent) {
+            byte[] complete = reading.toByteArray();
             head = null;
-            body = new ByteArrayOutputStream(0);
+            body = null;
             listener.onRequest(request, complete, headReadNanos);
         }
     }
@@ -110,6 +127,7 @@
     /** Rejects the request that is being read, or the next one if none is. */
     void reject(int status) {
         head = null;
+        body = null;
         rejected = true;
         listener.onRejected(status);
     }
@@ -119,6 +137,12 @@
         return head != null;
     }
 
+    /** Returns the bytes that have been read of the current body. */
+    int bodyBytes() {
+        RequestBody reading = body;
+        return reading == null ? 0 : reading.size();
+    }
+
     /** Returns the clock reading when the head of the current or last request had been read. */
     long headReadNanos() {
         return headReadNanos;
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -3,9 +3,7 @@
 import dev.zinniaring.calls.Addresses;
 import dev.zinniaring.calls.Answer;
 import dev.zinniaring.calls.CallCounters;
-import dev.zinniaring.calls.ClientLimits;
 import dev.zinniaring.calls.Exchange;
-import dev.zinniaring.calls.ExchangeHandler;
 import dev.zinniaring.calls.HeaderNames;
 import dev.zinniaring.calls.HttpListener;
 import dev.zinniaring.calls.PeerCalls;
@@ -26,7 +24,6 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -156,9 +153,9 @@
                         .servers(directory::servers)
                         .build();
         this.peerCalls = new PeerCalls(calls.owner(), names);
-        this.callListener = listener(activeConfiguration::limits, calls.entry());
-        this.peerListener =
-                listener(() -> activeConfiguration.limits().forPeers(), this::handlePeerRequest);
+        this.callListener =
+                new HttpListener(group, clock, activeConfiguration::limits, calls.entry());
+        this.peerListener = peerListener();
         this.configurationWatcher =
                 watcher(
                         configurationSource.configurationTable(),
@@ -220,8 +217,9 @@
                 settings.zone());
     }
 
-    private HttpListener listener(Supplier<ClientLimits> limits, ExchangeHandler handler) {
-        return new HttpListener(group, clock, limits, handler);
+    private HttpListener peerListener() {
+        return callListener.sibling(
+                () -> activeConfiguration.limits().forPeers(), this::handlePeerRequest);
     }
 
     private TableWatcher watcher(
