--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -3,10 +3,9 @@
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.KernelException;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -39,6 +38,12 @@
 
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /** Largest read from a socket; bounds the memory for a connection that has to wait. */
+    static final int MAX_RECEIVE_BYTES = 16 * 1024;
+
+    private static final int MIN_RECEIVE_BYTES = 64;
+    private static final int FIRST_RECEIVE_BYTES = 2 * 1024;
+
     /**
      * Body bytes of the unanswered requests of all connections beyond which no pipelined requests
      * are read.
@@ -49,6 +54,8 @@
     private final Clock clock;
     private final Supplier<ClientLimits> limits;
     private final ExchangeHandler handler;
+    private final BodyBudget budget;
+    private final BodyBudget.Share bodies;
     private final Set<InboundConnection> connections = new HashSet<>();
     private @Nullable Channel channel;
     private boolean draining;
@@ -65,10 +72,27 @@
             Clock clock,
             Supplier<ClientLimits> limits,
             ExchangeHandler handler) {
+        this(loop, clock, limits, handler, BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    /** Creates a listener that keeps the bodies of requests within a budget. */
+    HttpListener(
+            EventLoopGroup loop,
+            Clock clock,
+            Supplier<ClientLimits> limits,
+            ExchangeHandler handler,
+            BodyBudget budget) {
         this.loop = loop;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
+        this.budget = budget;
+        this.bodies = budget.share();
+    }
+
+    /** Returns another listener, which shares the budget for bodies with this one. */
+    public HttpListener sibling(Supplier<ClientLimits> siblingLimits, ExchangeHandler calls) {
+        return new HttpListener(loop, clock, siblingLimits, calls, budget);
     }
 
     /**
@@ -84,6 +108,10 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                        MIN_RECEIVE_BYTES, FIRST_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
                         .childHandler(new ConnectionInitializer());
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -166,6 +194,10 @@
         return clock;
     }
 
+    BodyBudget.Share bodies() {
+        return bodies;
+    }
+
     ExchangeHandler handler() {
         return handler;
     }
@@ -213,28 +245,10 @@
             InboundConnection connection = new InboundConnection(HttpListener.this);
             socket.pipeline()
                     .addLast(
-                            new ReceiveObserver(connection),
+                            connection.readAhead(),
                             new RequestDecoder(config),
                             new HttpResponseEncoder(),
                             connection);
         }
     }
-
-    /**
-     * Notifies a connection of received bytes before they are decoded, so that the header timeout
-     * also covers incomplete heads.
-     */
-    private static final class ReceiveObserver extends ChannelInboundHandlerAdapter {
-        private final InboundConnection connection;
-
-        ReceiveObserver(InboundConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.bytesArrived();
-            context.fireChannelRead(message);
-        }
-    }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -25,13 +26,26 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * An inbound connection of a listener. It keeps reading while requests are being handled, so that a
- * disconnect is detected immediately, unless so many are unanswered that the client has to wait.
- * {@link RequestPipeline} decides which requests run and which answer is sent next.
+ * An inbound connection of a listener. It reads while requests are being handled, so that a
+ * disconnect is detected immediately. What a client sends while too much is unanswered is not
+ * decoded, and read only as far as {@link ReadAhead} has room. {@link RequestPipeline} decides
+ * which requests run and which answer is sent next.
  */
 final class InboundConnection extends ChannelInboundHandlerAdapter
         implements RequestReader.Listener {
     private static final int REQUEST_TIMEOUT = 408;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    /** Wait for memory after which a request is refused, so that it can be sent elsewhere. */
+    private static final long MAX_MEMORY_WAIT_MILLIS = 500;
+
+    private static final String MEMORY_RETRY_SECONDS = "0.2";
+
+    /** Progress of a body between two checks below which it must not keep others waiting. */
+    private static final int MIN_PROGRESS_BYTES = 16 * 1024;
+
+    /** Consecutive checks without that progress after which a body is refused. */
+    private static final int MAX_SLOW_CHECKS = 2;
 
     /** Time in which a client is expected to read the last answer and to close the connection. */
     private static final long LINGER_MILLIS = 1_000;
@@ -39,7 +53,12 @@
     private final HttpListener listener;
     private final RequestReader reader;
     private final RequestPipeline<Exchange, Answer> pipeline = new RequestPipeline<>();
+    private final ReadAhead readAhead = new ReadAhead(this::bytesArrived);
+    private final IdentityHashMap<Exchange, BodyBudget.Claim> claims = new IdentityHashMap<>();
     private @Nullable ChannelHandlerContext context;
+    private BodyBudget.@Nullable Claim readingClaim;
+    private int checkedBodyBytes;
+    private int slowChecks;
     private boolean headStarted;
     private long headStartedNanos;
     private boolean lastRequestRead;
@@ -69,6 +88,9 @@
         closing = true;
         listener.closed(this, pipeline.bytes());
         pipeline.cancel().forEach(Exchange::cancel);
+        claims.values().forEach(BodyBudget.Claim::release);
+        claims.clear();
+        releaseReadingClaim();
     }
 
     @Override
@@ -98,8 +120,12 @@
         advance();
     }
 
+    ReadAhead readAhead() {
+        return readAhead;
+    }
+
     /** Records when the head of the next request starts to arrive. */
-    void bytesArrived() {
+    private void bytesArrived() {
         if (!reader.readingBody() && !headStarted) {
             headStarted = true;
             headStartedNanos = listener.clock().nanos();
@@ -113,6 +139,29 @@
         advance();
     }
 
+    @Override
+    public BodyBudget.Claim claim(long bytes) {
+        BodyBudget.Claim claim = listener.bodies().claim(bytes, this::updateReading);
+        readingClaim = claim;
+        checkedBodyBytes = 0;
+        slowChecks = 0;
+        updateReading();
+        return claim;
+    }
+
+    private void releaseReadingClaim() {
+        BodyBudget.Claim claim = readingClaim;
+        readingClaim = null;
+        if (claim != null) {
+            claim.release();
+        }
+    }
+
+    private boolean waitsForMemory() {
+        BodyBudget.Claim claim = readingClaim;
+        return claim != null && claim.waiting();
+    }
+
     @Override
     public void onRequest(HttpRequest head, byte[] body, long headReadNanos) {
         headStarted = false;
@@ -134,6 +183,11 @@
                         lastRequestRead,
                         body.length);
         listener.addReadBytes(body.length);
+        BodyBudget.Claim claim = readingClaim;
+        if (claim != null) {
+            claims.put(exchange, claim);
+            readingClaim = null;
+        }
         advance();
     }
 
@@ -142,10 +196,22 @@
         headStarted = false;
         continueExpected = false;
         lastRequestRead = true;
-        pipeline.addRejected(Exchange.unread(listener.clock().nanos()), Answer.of(status));
+        releaseReadingClaim();
+        pipeline.addRejected(Exchange.unread(listener.clock().nanos()), rejection(status));
         advance();
     }
 
+    private static Answer rejection(int status) {
+        Answer answer = Answer.of(status);
+        if (status == SERVICE_UNAVAILABLE) {
+            answer.headers().set("Retry-After", MEMORY_RETRY_SECONDS);
+            answer.headers()
+                    .set(HopHeaders.OUTCOME, OwnerResult.Outcome.NOT_RUN.headerValue())
+                    .set(HopHeaders.REASON, "no-memory");
+        }
+        return answer;
+    }
+
     /** Starts the requests that may run and sends the answers whose turn it is. */
     private void advance() {
         if (advancing) {
@@ -202,6 +268,10 @@
             return false;
         }
         listener.addReadBytes(-turn.request().body().length);
+        BodyBudget.Claim claim = claims.remove(turn.request());
+        if (claim != null) {
+            claim.release();
+        }
         idleSinceNanos = listener.clock().nanos();
         send(turn.request(), turn.answer(), turn.close());
         return true;
@@ -271,19 +341,11 @@
         return open.write(response);
     }
 
-    /** Stops reading while too much is unanswered, and resumes it afterwards. */
+    /** Stops decoding requests while there is no room for them, and resumes it afterwards. */
     void updateReading() {
-        ChannelHandlerContext open = context;
-        if (open == null) {
-            return;
-        }
-        boolean wait =
-                !closing
-                        && !pipeline.isEmpty()
-                        && (pipeline.full() || listener.readAheadFull() || !writable());
-        if (open.channel().config().isAutoRead() == wait) {
-            open.channel().config().setAutoRead(!wait);
-        }
+        boolean manyUnanswered =
+                !pipeline.isEmpty() && (pipeline.full() || listener.readAheadFull() || !writable());
+        readAhead.pause(!closing && (waitsForMemory() || manyUnanswered));
     }
 
     /** Returns the number of requests that are being read or whose answers are not yet sent. */
@@ -304,7 +366,20 @@
      */
     void checkTimeouts(long nowNanos) {
         ChannelHandlerContext open = context;
-        if (open == null || lastRequestRead || !open.channel().config().isAutoRead()) {
+        if (open == null || lastRequestRead) {
+            return;
+        }
+        if (waitsForMemory()) {
+            if (nowNanos - reader.headReadNanos() > nanos(MAX_MEMORY_WAIT_MILLIS)) {
+                reader.reject(SERVICE_UNAVAILABLE);
+            }
+            return;
+        }
+        if (readAhead.paused()) {
+            return;
+        }
+        if (delaysOthers()) {
+            reader.reject(SERVICE_UNAVAILABLE);
             return;
         }
         ClientLimits limits = listener.limits();
@@ -322,6 +397,19 @@
         }
     }
 
+    /** Returns whether a slow client holds memory for which the bodies of others wait. */
+    private boolean delaysOthers() {
+        BodyBudget.Claim claim = readingClaim;
+        int readBytes = reader.bodyBytes();
+        boolean slow = readBytes - checkedBodyBytes < MIN_PROGRESS_BYTES;
+        checkedBodyBytes = readBytes;
+        slowChecks = slow ? slowChecks + 1 : 0;
+        return claim != null
+                && claim.isLong()
+                && listener.bodies().contended()
+                && slowChecks >= MAX_SLOW_CHECKS;
+    }
+
     private static long nanos(long millis) {
         return millis * 1_000_000L;
     }
