Do not start attempts that the end of a stopping node would cut

What callers saw: on the product's own path, a call in flight when its entry node was stopped could be retried on another server with more time than the node had left, and was cut while that server ran it. New calls are refused from the termination request on, so that only calls accepted before it are concerned.

Cause: RetryingDispatcher compared retries with the deadline of the call, but not with the end of the drain.

Change: StopAdmission, as on the users' path, is asked before the first attempt and before each retry; without a margin of run times, since the node keeps none by route: a call is sent only if its whole deadline fits. A first attempt is refused as not run (503, node-stopping); a retry is left out, and the failure of the attempt before it is reported as it is. At the end of the drain, the calls that the end cuts are logged ("cut calls count= calls=").

--- a/node/src/main/java/dev/zinniaring/node/CallListener.java
+++ b/node/src/main/java/dev/zinniaring/node/CallListener.java
@@ -5,6 +5,7 @@
 import dev.zinniaring.kernel.KernelException;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -109,6 +110,14 @@
         return inFlight.size();
     }
 
+    /** Returns the ids of the calls in flight, as their callers sent them. */
+    List<String> inFlightIds() {
+        return inFlight.stream()
+                .map(exchange -> exchange.header(CallHeaders.CALL_ID))
+                .map(id -> id == null ? "unnamed" : id)
+                .toList();
+    }
+
     long refused() {
         return refused.sum();
     }
--- a/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
+++ b/node/src/main/java/dev/zinniaring/node/CallsPlugin.java
@@ -2,6 +2,8 @@
 
 import dev.zinniaring.admission.CrashGuard;
 import dev.zinniaring.admission.IdempotencyMemory;
+import dev.zinniaring.calls.CutCalls;
+import dev.zinniaring.calls.StopAdmission;
 import dev.zinniaring.distribution.Endpoints;
 import dev.zinniaring.distribution.Versions;
 import dev.zinniaring.kernel.Clock;
@@ -14,11 +16,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The call path: the listeners for callers and for other nodes, and the handling of their calls.
  */
 final class CallsPlugin implements Plugin {
+    private static final Logger log = LoggerFactory.getLogger(CallsPlugin.class);
     private static final Duration QUEUE_EXPIRY_PERIOD = Duration.ofMillis(10);
     private static final Duration WATCH_PERIOD = Duration.ofMillis(50);
     private static final Duration PROPAGATION_PERIOD = Duration.ofMillis(200);
@@ -40,6 +45,7 @@
     private final Runnable propagateSuspects;
     private final CallListener callers;
     private final CallListener peers;
+    private final StopAdmission stop;
     private final Clock clock;
     private final List<Scheduler.Cancellable> timers = new ArrayList<>();
 
@@ -54,6 +60,7 @@
         propagateSuspects = dependencies.propagateSuspects();
         memory = IdempotencyMemory.builder().clock(clock).build();
         homes = new KeyHomeSelector(settings.nodeId(), clock);
+        stop = new StopAdmission(clock);
         Limits limits = settings.limits();
         client = new HopClient(limits.connectMillis());
         routes = new Routes(versions, endpoints, clock);
@@ -69,6 +76,7 @@
                         localDispatcher,
                         new PeerDispatcher(client, clock),
                         dependencies.retryPolicy(),
+                        stop,
                         metrics,
                         clock);
         KeyedCalls keyed = new KeyedCalls(keys, dispatcher, relay, clock);
@@ -113,6 +121,7 @@
     @Override
     public void drain(Duration limit) {
         long startNanos = clock.nanos();
+        stop.stopAt(startNanos + limit.toNanos());
         entry.drain();
         owner.drain();
         callers.drain();
@@ -121,6 +130,11 @@
         callers.awaitTime(withdrawalWait);
         callers.awaitIdle(limit.minus(clock.since(startNanos)));
         peers.awaitIdle(limit.minus(clock.since(startNanos)));
+        List<String> cut = new ArrayList<>(callers.inFlightIds());
+        cut.addAll(peers.inFlightIds());
+        if (!cut.isEmpty()) {
+            log.warn("cut calls {}", CutCalls.text(cut));
+        }
     }
 
     @Override
--- a/node/src/main/java/dev/zinniaring/node/RetryingDispatcher.java
+++ b/node/src/main/java/dev/zinniaring/node/RetryingDispatcher.java
@@ -2,6 +2,7 @@
 
 import dev.zinniaring.admission.FailedAttempt;
 import dev.zinniaring.admission.RetryPolicy;
+import dev.zinniaring.calls.StopAdmission;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.EndpointRecord;
 import dev.zinniaring.routing.CallOutcome;
@@ -19,6 +20,7 @@
     private final LocalDispatcher local;
     private final PeerDispatcher peers;
     private final RetryPolicy policy;
+    private final StopAdmission stop;
     private final CallMetrics metrics;
     private final Clock clock;
 
@@ -27,12 +29,14 @@
             LocalDispatcher local,
             PeerDispatcher peers,
             RetryPolicy policy,
+            StopAdmission stop,
             CallMetrics metrics,
             Clock clock) {
         this.settings = settings;
         this.local = local;
         this.peers = peers;
         this.policy = policy;
+        this.stop = stop;
         this.metrics = metrics;
         this.clock = clock;
     }
@@ -44,6 +48,9 @@
      */
     HopResponse run(CallContext call, RouteMatch match, PoolState pool) throws CallException {
         pool.budget().recordCall();
+        if (!stop.fits(call.deadlineNanos())) {
+            throw CallException.notRun(503, StopAdmission.REASON);
+        }
         Set<String> tried = new HashSet<>();
         CallException last = CallException.notRun(503, "no-server");
         boolean mayHaveRun = false;
@@ -83,7 +90,7 @@
         if (callerFault || call.exchange().cancellation().cancelled()) {
             return false;
         }
-        if (!call.body().repeatable()) {
+        if (!call.body().repeatable() || !stop.fits(call.deadlineNanos())) {
             return false;
         }
         return policy.mayRetry(
--- a/node/src/test/java/dev/zinniaring/node/RawServer.java
+++ b/node/src/test/java/dev/zinniaring/node/RawServer.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -24,6 +25,7 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final List<String> responses;
     private final boolean close;
+    private final CountDownLatch release;
 
     RawServer(String response, boolean close) throws IOException {
         this(List.of(response), close);
@@ -31,8 +33,19 @@
 
     /** Creates a server that answers with each of the given responses in turn, then the last. */
     RawServer(List<String> responses, boolean close) throws IOException {
+        this(responses, close, new CountDownLatch(0));
+    }
+
+    /** Starts a server that holds each request until the latch is released. */
+    RawServer(String response, boolean close, CountDownLatch release) throws IOException {
+        this(List.of(response), close, release);
+    }
+
+    private RawServer(List<String> responses, boolean close, CountDownLatch release)
+            throws IOException {
         this.responses = List.copyOf(responses);
         this.close = close;
+        this.release = release;
         Thread thread = new Thread(this::serve, "raw-server");
         thread.setDaemon(true);
         thread.start();
@@ -73,6 +86,7 @@
             while (head != null) {
                 String callId = header(head, "Zinniaring-Call-Id");
                 int index = Math.min(requests.getAndIncrement(), responses.size() - 1);
+                release.await();
                 String response =
                         responses.get(index).replace("{id}", callId).replace("{before}", before);
                 socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
@@ -85,6 +99,8 @@
             }
         } catch (IOException e) {
             // The other side closed the connection, which ends the exchange of the test.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/node/src/test/java/dev/zinniaring/node/ServerLifecycleTest.java
+++ b/node/src/test/java/dev/zinniaring/node/ServerLifecycleTest.java
@@ -7,6 +7,7 @@
 import dev.zinniaring.standins.BackendServer;
 import dev.zinniaring.standins.ServiceTime;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -82,6 +83,41 @@
         assertThat(server.runs().total()).isEqualTo(5);
     }
 
+    /** Guards against a retry that the end of the process cuts while a server runs it. */
+    @Test
+    void aNodeThatEndsBeforeTheDeadlineOfACallDoesNotRetryIt() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        RawServer first = heldServer("s1", release);
+        RawServer second = heldServer("s2", release);
+        CompletableFuture<Integer> call = postLater("/read");
+        NodeTest.eventually(() -> first.requests() + second.requests() == 1);
+        CompletableFuture<Void> drained =
+                CompletableFuture.runAsync(() -> entry.calls.drain(Duration.ofSeconds(3)));
+        NodeTest.eventually(() -> status("/unknown") == 503);
+
+        release.countDown();
+
+        assertThat(call.get(10, TimeUnit.SECONDS)).isEqualTo(502);
+        drained.get(10, TimeUnit.SECONDS);
+        assertThat(first.requests() + second.requests()).isEqualTo(1);
+    }
+
+    /** Adds a server that closes the connections of its requests once the latch is released. */
+    private RawServer heldServer(String id, CountDownLatch release) throws IOException {
+        RawServer server = new RawServer("", true, release);
+        closed.add(server);
+        owner.serve(id, "katalog", server.address());
+        return server;
+    }
+
+    private int status(String path) {
+        try (Response response = post(entry, path)) {
+            return response.code();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     void drainingServerGetsNoNewCalls() throws Exception {
         BackendServer server = announced(owner, 0);
