Watch the caller of a long body once its end has been read, on the own path

Callers saw nothing; a server worked to the end, or to the deadline, for a caller that had closed its connection, if the body had more than 64 KB.

Cause: only a body that was buffered whole was watched. The rest of a longer one is streamed to the server, and nothing started the watch at its end.

Change: CallBody tells when its rest has been read, and the periodic check then starts the watch. While the rest is unread, in the queue above all, the caller is still not watched, since Jetty sees its end only behind that rest.

All tests of node: 110 passed.

--- a/node/src/main/java/dev/zinniaring/node/CallBody.java
+++ b/node/src/main/java/dev/zinniaring/node/CallBody.java
@@ -31,6 +31,7 @@
     private final long lengthBytes;
     private final long maxBytes;
     private boolean restConsumed;
+    private volatile boolean restRead;
 
     private CallBody(byte[] start, @Nullable InputStream rest, long lengthBytes, long maxBytes) {
         this.start = start;
@@ -79,7 +80,7 @@
 
     /** Returns whether the whole body has been read from the caller. */
     boolean fullyRead() {
-        return rest == null;
+        return rest == null || restRead;
     }
 
     /** Returns the body of a request to the next hop. */
@@ -125,6 +126,7 @@
                 sink.write(chunk, 0, count);
                 count = readChunk(chunk);
             }
+            restRead = true;
         }
 
         private int readChunk(byte[] chunk) throws BodyException {
--- a/node/src/main/java/dev/zinniaring/node/Exchange.java
+++ b/node/src/main/java/dev/zinniaring/node/Exchange.java
@@ -123,6 +123,7 @@
 
     /** Cancels the call if the client disconnects from now on; no effect while the body is read. */
     void watchClient() {
+        watchable = watchable || body.fullyRead();
         if (watchable) {
             watch.start();
         }
