Fail an answer whose body has a coding that was not asked for

Callers saw a success with `Content-Encoding: gzip` passed on.

Cause: nothing on the path from a server looked at the content coding; like a transfer coding other than chunked, it changes what the body is.

Evidence: MistakenAnswersTest.aBodyWithAContentCodingThatTheCallerDidNotAskForIsNotPassedOn failed before (expected "502 ", was "200 odd").

Change: a connection fails an answer as malformed if it names a content coding other than identity and its request did not name one in Accept-Encoding, which is passed on as the caller sent it.

--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -206,6 +206,19 @@
         return coded || (!echo.isEmpty() && headers.getAll(echo).stream().distinct().count() > 1);
     }
 
+    /** Returns whether a body has a content coding that its request did not ask for. */
+    private boolean unexpectedlyEncoded(HttpResponse response) {
+        OutboundRequest sent = request;
+        return sent != null
+                && namesCoding(response.headers(), HttpHeaderNames.CONTENT_ENCODING)
+                && !namesCoding(sent.headers(), HttpHeaderNames.ACCEPT_ENCODING);
+    }
+
+    private static boolean namesCoding(HttpHeaders headers, CharSequence header) {
+        return headers.getAll(header).stream()
+                .anyMatch(coding -> !HttpHeaderValues.IDENTITY.contentEqualsIgnoreCase(coding));
+    }
+
     private void process(HttpObject object) {
         undecodedBytes = 0;
         if (object.decoderResult().isFailure()) {
@@ -222,7 +235,7 @@
             return;
         }
         if (object instanceof HttpResponse response) {
-            if (ambiguous(response)) {
+            if (ambiguous(response) || unexpectedlyEncoded(response)) {
                 failMalformed();
                 return;
             }
--- a/calls/src/test/java/dev/zinniaring/calls/MistakenAnswersTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/MistakenAnswersTest.java
@@ -132,6 +132,12 @@
         assertThat(server.requests).hasSize(1);
     }
 
+    @Test
+    void aBodyWithAContentCodingThatTheCallerDidNotAskForIsNotPassedOn() throws Exception {
+        server.answers.add(named(200, "odd").replace("Reason", "OK\r\nContent-Encoding: gzip"));
+        assertThat(call("c1", "POST", "/once/1")).isEqualTo("502 ");
+    }
+
     /** The pool has no second server, so the first answer is the only one there is. */
     @Test
     void theFailureOfAServerIsNotReplacedByARefusalWhenNoOtherServerIsLeft() throws Exception {
