Play servers that stutter, fail and call others in the soak

Cause: no run of the soak compared what a caller got with what servers did for exactly that send of a call, and its servers answered plainly. The wrong answers of the users' record (MIXED) could not show.

Servers fail, answer at their deadlines and make calls under `parent.suffix` through their nodes. Callers use kept and new connections, leave early, and send idempotent calls again under their ids, also before an answer. Nodes are killed, stopped and paused, and a server of another service takes over an address. Each run names itself and its status in a tag; MixedChecker excuses no wrong answer. What no receiver can detect is left out: an orderly close in a body without a length, changed bytes in a body, a status or a length that stay valid. Seeds without the switch play as before. Exchange.cancel is public for the soak's listener. All violations of a run are written to violations.txt in its directory.

--- a/calls/src/main/java/dev/zinniaring/calls/Exchange.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Exchange.java
@@ -119,7 +119,7 @@
     }
 
     /** Marks the exchange as cancelled because the client has disconnected. */
-    void cancel() {
+    public void cancel() {
         if (answered || cancelled) {
             return;
         }
--- a/soak/src/main/java/dev/zinniaring/soak/Callers.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Callers.java
@@ -28,7 +28,7 @@
  * Generates calls to all nodes at a steady rate per node, over pooled connections. Calls are never
  * retried.
  */
-final class Callers {
+final class Callers implements Load {
     /** Interval between calls per node; leaves a third of the backend servers' slots free. */
     private static final long PERIOD_MILLIS_PER_NODE = 72;
 
@@ -76,15 +76,16 @@
                         .build();
     }
 
-    void start() {
+    @Override
+    public void start() {
         long periodMillis = Math.max(1, PERIOD_MILLIS_PER_NODE / nodes.size());
         sending =
                 timer.scheduleAtFixedRate(
                         this::send, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Stops sending and waits up to 5 s for the calls in flight. */
-    void stop() throws InterruptedException {
+    @Override
+    public void stop() throws InterruptedException {
         ScheduledFuture<?> scheduled = sending;
         if (scheduled != null) {
             scheduled.cancel(false);
--- a/soak/src/main/java/dev/zinniaring/soak/Fault.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Fault.java
@@ -39,6 +39,19 @@
                     server("refusals-repeated", ObservedServer.Fault.REFUSING),
                     server("heads-broken", ObservedServer.Fault.BREAKING_OFF));
 
+    /** Kinds that a run draws in addition while its servers stutter. */
+    static final List<Fault> STUTTER =
+            List.of(
+                    node("kill", false, NodeProcess::kill, NodeProcess::start),
+                    node("pause", false, NodeProcess::pause, NodeProcess::resume),
+                    node("terminate", true, NodeProcess::terminate, NodeProcess::start),
+                    new Fault(
+                            "address-taken-over",
+                            false,
+                            false,
+                            Fleet::takeOver,
+                            (fleet, index) -> fleet.member(index).process().start()));
+
     /** All kinds that a run may draw. */
     static final List<Fault> ALL =
             List.of(
--- a/soak/src/main/java/dev/zinniaring/soak/FaultPlan.java
+++ b/soak/src/main/java/dev/zinniaring/soak/FaultPlan.java
@@ -49,6 +49,12 @@
         return draw(Fault.ODD, count, MAX_ADDED_DURATION_MILLIS, random, nodes, withinMillis);
     }
 
+    /** Returns one to four faults of nodes of servers that stutter, as {@link #draw} does. */
+    static List<Entry> drawStutter(SplittableRandom random, int nodes, long withinMillis) {
+        int count = random.nextInt(1, MAX_ADDED_FAULTS + 1);
+        return draw(Fault.STUTTER, count, MAX_DURATION_MILLIS, random, nodes, withinMillis);
+    }
+
     private static List<Entry> draw(
             List<Fault> kinds,
             int count,
--- a/soak/src/main/java/dev/zinniaring/soak/Fleet.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Fleet.java
@@ -29,6 +29,11 @@
     static final int GRACE_SECONDS = 6;
 
     private static final int ZONES = 2;
+    private static final String SERVICE = "\"service\":\"%s\"";
+
+    /** Servers that a service keeps when one is taken over. */
+    private static final int MIN_SERVERS = 3;
+
     private static final String NODES_TABLE = "zinniaring-nodes";
     private static final int ODD_ROWS = 6;
     private static final int MAX_ODD_BYTES = 200;
@@ -57,6 +62,9 @@
     private final List<Member> members = new ArrayList<>();
     private final List<EndingSender> endingSenders = new ArrayList<>();
     private final SplittableRandom oddBytes;
+    private final Path directory;
+    private final @Nullable Stutter stutter;
+    private final List<String> services = new ArrayList<>();
     private int stoppedSenders;
     private final AtomicReference<RowStoreServer.@Nullable Copy> storeCopy =
             new AtomicReference<>();
@@ -84,6 +92,7 @@
      * Creates the servers, proxies and settings files; no node process is started yet.
      *
      * @param directory directory for the settings and the output of the nodes
+     * @param stutter draws work and answers of the servers, if not null
      */
     Fleet(
             long seed,
@@ -91,9 +100,12 @@
             Path directory,
             Clock clock,
             Observations observations,
-            SplittableRandom random)
+            SplittableRandom random,
+            @Nullable Stutter stutter)
             throws KernelException, IOException {
         this.observations = observations;
+        this.directory = directory;
+        this.stutter = stutter;
         oddBytes = new SplittableRandom(seed);
         store = RowStoreServer.start();
         operator = new Operator(store, observations);
@@ -122,8 +134,12 @@
             throws KernelException, IOException {
         String zone = "zone-" + index / Operator.SERVICES.size() % ZONES;
         ObservedServer server =
-                new ObservedServer(index, zone, serverLoop, client, clock, observations, random);
+                new ObservedServer(
+                        index, zone, serverLoop, client, clock, observations, random, stutter);
         LoopbackProxy toServer = LoopbackProxy.start(proxyLoop, clock, server.address());
+        if (stutter != null) {
+            toServer.passResets();
+        }
         LoopbackProxy toStore = LoopbackProxy.start(proxyLoop, clock, store.address());
         List<InetSocketAddress> ports = ports(seed, index);
         LoopbackProxy toNode = LoopbackProxy.start(proxyLoop, clock, ports.get(1));
@@ -147,7 +163,8 @@
                                 Addresses.text(ports.get(4)),
                                 Addresses.text(toStore.address()),
                                 GRACE_SECONDS);
-        Path file = directory.resolve("node-%d.json".formatted(index));
+        services.add(server.service());
+        Path file = settings(index);
         Files.writeString(file, settings);
         NodeProcess process =
                 new NodeProcess(
@@ -156,10 +173,14 @@
                         TimeUnit.SECONDS.toMillis(GRACE_SECONDS),
                         clock,
                         finding -> observations.finding("node-" + index + ": " + finding));
-        server.announce(toServer, ports.get(3));
+        server.announce(toServer, ports.get(3), ports.get(0));
         return new Member(process, server, toStore, toNode, ports.get(0), ports.get(2));
     }
 
+    private Path settings(int index) {
+        return directory.resolve("node-%d.json".formatted(index));
+    }
+
     /**
      * Writes the first configuration, starts every node and waits until all are ready.
      *
@@ -231,6 +252,28 @@
         }
     }
 
+    /**
+     * Ends a backend server and its node; a server of another service takes over its address,
+     * unless none would be left of the old one.
+     */
+    void takeOver(int index) {
+        String old = services.get(index);
+        if (services.stream().filter(old::equals).count() < MIN_SERVERS) {
+            return;
+        }
+        String next = Operator.SERVICES.get(1 - Operator.SERVICES.indexOf(old));
+        services.set(index, next);
+        member(index).process().kill();
+        member(index).server().handOver(next);
+        try {
+            String text = Files.readString(settings(index));
+            Files.writeString(
+                    settings(index), text.replace(SERVICE.formatted(old), SERVICE.formatted(next)));
+        } catch (IOException e) {
+            observations.finding("settings of node-" + index + " not written: " + e.getMessage());
+        }
+    }
+
     /** Keeps a copy of the store for {@link #restoreStore}. */
     void copyStore() {
         storeCopy.set(store.copy());
--- a/soak/src/main/java/dev/zinniaring/soak/InvariantChecker.java
+++ b/soak/src/main/java/dev/zinniaring/soak/InvariantChecker.java
@@ -88,6 +88,7 @@
         checker.checkLimits();
         checker.checkEnds();
         checker.checkAbandonedRuns();
+        checker.violations.addAll(MixedChecker.violations(observed));
         checker.violations.addAll(observed.findings());
         return checker.violations;
     }
--- a/soak/src/main/java/dev/zinniaring/soak/LoopbackProxy.java
+++ b/soak/src/main/java/dev/zinniaring/soak/LoopbackProxy.java
@@ -59,6 +59,7 @@
     private final Set<Direction> directions = new HashSet<>();
     private Mode mode = Mode.PASS;
     private long delayNanos;
+    private boolean passesResets;
 
     private LoopbackProxy(EventLoopGroup loop, Clock clock, InetSocketAddress target)
             throws KernelException {
@@ -117,6 +118,11 @@
         loop.execute(() -> delayNanos = TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
+    /** Lets a reset of one side reset the other, which is else closed. */
+    void passResets() {
+        loop.execute(() -> passesResets = true);
+    }
+
     private void reset() {
         for (Direction direction : List.copyOf(directions)) {
             reset(direction.from);
@@ -148,6 +154,7 @@
         private final Channel from;
         private @Nullable Channel to;
         private int answers;
+        private boolean wasReset;
 
         Direction(boolean toTarget, Channel from) {
             this.toTarget = toTarget;
@@ -172,6 +179,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            wasReset = passesResets;
             context.close();
         }
 
@@ -206,6 +214,14 @@
             return REFUSALS.contains(start);
         }
 
+        private void end(Channel other) {
+            if (wasReset) {
+                reset(other);
+            } else {
+                other.close();
+            }
+        }
+
         void forward() {
             Channel other = to;
             while (other != null && forwards(toTarget)) {
@@ -217,7 +233,7 @@
                 ByteBuf bytes = next.bytes;
                 if (bytes == null) {
                     directions.remove(this);
-                    other.close();
+                    end(other);
                 } else {
                     write(bytes, other);
                 }
--- a/soak/src/main/java/dev/zinniaring/soak/Observations.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Observations.java
@@ -97,6 +97,26 @@
     /** The end of a backend server's process, caused by the request with the given path. */
     record End(String path, String serverId, long atMillis) {}
 
+    /**
+     * An answer that a backend server sent at the end of a run.
+     *
+     * @param run name of the run
+     * @param send name of the send of a call that it ran
+     * @param body whole body
+     */
+    record SentAnswer(String run, String send, AnswerKind kind, int status, String body) {}
+
+    /**
+     * A complete answer that a caller received.
+     *
+     * @param send name of the send of a call that it answers
+     * @param callId id of the call
+     * @param tag tag of the run; empty if it has none
+     * @param echoedId id of a call that it names; empty if it names none
+     */
+    record ReceivedAnswer(
+            String send, String callId, int status, String tag, String echoedId, String body) {}
+
     /** A configuration that the store accepted, with the service of {@link Route#MOVING}. */
     record Version(int number, String service, long atMillis) {}
 
@@ -117,6 +137,8 @@
     private final Queue<LeaveAck> leaveAcks = new ConcurrentLinkedQueue<>();
     private final Queue<Limit> limits = new ConcurrentLinkedQueue<>();
     private final Queue<End> ends = new ConcurrentLinkedQueue<>();
+    private final Queue<SentAnswer> sentAnswers = new ConcurrentLinkedQueue<>();
+    private final Queue<ReceivedAnswer> receivedAnswers = new ConcurrentLinkedQueue<>();
     private final Queue<Version> versions = new ConcurrentLinkedQueue<>();
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
     private final Queue<String> findings = new ConcurrentLinkedQueue<>();
@@ -151,6 +173,14 @@
         ends.add(end);
     }
 
+    void add(SentAnswer sent) {
+        sentAnswers.add(sent);
+    }
+
+    void add(ReceivedAnswer received) {
+        receivedAnswers.add(received);
+    }
+
     void add(Version version) {
         versions.add(version);
     }
@@ -184,6 +214,14 @@
         return List.copyOf(ends);
     }
 
+    List<SentAnswer> sentAnswers() {
+        return List.copyOf(sentAnswers);
+    }
+
+    List<ReceivedAnswer> receivedAnswers() {
+        return List.copyOf(receivedAnswers);
+    }
+
     List<Version> versions() {
         return List.copyOf(versions);
     }
--- a/soak/src/main/java/dev/zinniaring/soak/ObservedServer.java
+++ b/soak/src/main/java/dev/zinniaring/soak/ObservedServer.java
@@ -64,6 +64,9 @@
     /** Time after which a server is back that a request has ended. */
     private static final long BACK_AFTER_END_MILLIS = 4_000;
 
+    /** Time after which the address of a server that has ended may be used again. */
+    private static final long ADDRESS_REUSE_MILLIS = 2_000;
+
     /** Part of the path of requests that end each server that begins to run them. */
     static final String ENDING = "/ends-";
 
@@ -73,10 +76,11 @@
     private static final MediaType JSON = MediaType.get("application/json");
 
     private final int index;
-    private final String service;
+    private String service;
     private final String zone;
     private final EventLoopGroup loop;
-    private final HttpListener listener;
+    private final InetSocketAddress address;
+    private final @Nullable Stutter stutter;
     private final Observations observations;
     private final SplittableRandom random;
     private final OkHttpClient client;
@@ -92,7 +96,16 @@
     private boolean leaving;
     private boolean leavingAcknowledged;
     private boolean down;
-
+    private InetSocketAddress node = InetSocketAddress.createUnresolved("", 0);
+    private boolean addressHeld;
+    private int runs;
+
+    /**
+     * Creates a server that listens on a free port.
+     *
+     * @param stutter draws its work and its answers; if null, it works by the route and answers
+     *     plainly
+     */
     ObservedServer(
             int index,
             String zone,
@@ -100,7 +113,8 @@
             OkHttpClient client,
             Clock clock,
             Observations observations,
-            SplittableRandom random)
+            SplittableRandom random,
+            @Nullable Stutter stutter)
             throws KernelException {
         this.index = index;
         this.service = Operator.SERVICES.get(index % Operator.SERVICES.size());
@@ -110,8 +124,17 @@
         this.clock = clock;
         this.observations = observations;
         this.random = random;
-        this.listener = new HttpListener(loop, clock, () -> ClientLimits.DEFAULT, this::handle);
-        listener.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        this.stutter = stutter;
+        if (stutter == null) {
+            HttpListener listener =
+                    new HttpListener(loop, clock, () -> ClientLimits.DEFAULT, this::handle);
+            listener.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            address = listener.address();
+        } else {
+            address =
+                    StutteringListener.start(loop, clock, stutter, observations, this::handle)
+                            .address();
+        }
     }
 
     String service() {
@@ -119,15 +142,17 @@
     }
 
     InetSocketAddress address() {
-        return listener.address();
+        return address;
     }
 
     /** Starts announcing itself to a node; requests arrive through a proxy. */
-    void announce(LoopbackProxy frontProxy, InetSocketAddress announcements) {
+    void announce(
+            LoopbackProxy frontProxy, InetSocketAddress announcements, InetSocketAddress calls) {
         announceUrl = "http://%s".formatted(Addresses.text(announcements));
         loop.execute(
                 () -> {
                     proxy = frontProxy;
+                    node = calls;
                     begin();
                 });
         loop.scheduleAtFixedRate(
@@ -168,12 +193,31 @@
     void restart() {
         loop.execute(
                 () -> {
-                    if (down) {
+                    if (down && !addressHeld) {
                         begin();
                     }
                 });
     }
 
+    /** Ends; a server of another service takes over the address later. */
+    void handOver(String nextService) {
+        loop.execute(
+                () -> {
+                    shutDown();
+                    addressHeld = true;
+                    loop.schedule(
+                            () -> takeAddress(nextService),
+                            ADDRESS_REUSE_MILLIS,
+                            TimeUnit.MILLISECONDS);
+                });
+    }
+
+    private void takeAddress(String nextService) {
+        addressHeld = false;
+        service = nextService;
+        restart();
+    }
+
     /** Leaves as before planned maintenance, and returns later under a new id. */
     void leave() {
         loop.execute(
@@ -329,12 +373,15 @@
         private final Observations.Run run;
         private final boolean fails;
         private final boolean stuck;
+        private @Nullable TaggedWork work;
 
         PendingRequest(Exchange exchange) {
             this.exchange = exchange;
             this.run =
                     new Observations.Run(
-                            exchange.headers().get(NAMES.callId(), ""),
+                            stutter == null
+                                    ? exchange.headers().get(NAMES.callId(), "")
+                                    : RunTag.send(exchange.headers()),
                             id(),
                             service,
                             observations.nowMillis());
@@ -349,27 +396,48 @@
                 observations.finding("DEADLINE: " + run.callId() + " arrived without a deadline");
             }
             exchange.onCancel(this::end);
-            if (!stuck) {
+            Stutter drawn = stutter;
+            if (drawn != null && !stuck) {
+                begin(drawn);
+            } else if (!stuck) {
                 Route route = Route.of(exchange.path());
                 int millis = random.nextInt(route.minServiceMillis(), route.maxServiceMillis() + 1);
                 loop.schedule(
-                        this::answer,
+                        () -> answer(),
                         (long) millis * (fault == Fault.SLOW ? SLOW_FACTOR : 1),
                         TimeUnit.MILLISECONDS);
             }
         }
 
+        private void begin(Stutter drawn) {
+            runs++;
+            TaggedWork begun =
+                    new TaggedWork(
+                            drawn,
+                            loop,
+                            observations,
+                            new TaggedWork.Origin(index, node, id() + "-" + runs),
+                            exchange.headers(),
+                            this::answer);
+            work = begun;
+            begun.begin(fault == Fault.SLOW ? SLOW_FACTOR : 1, fails);
+        }
+
+        private void answer(Answer answer) {
+            end();
+            answer.headers().set(NAMES.serverId(), run.serverId());
+            addNotice(answer);
+            exchange.answer(answer);
+        }
+
         private void answer() {
             if (!inProgress.contains(this)) {
                 return;
             }
-            end();
             Answer answer =
                     Answer.bytes(fails ? 500 : 200, run.callId().getBytes(StandardCharsets.UTF_8));
             answer.headers().set(NAMES.callId(), run.callId());
-            answer.headers().set(NAMES.serverId(), run.serverId());
-            addNotice(answer);
-            exchange.answer(answer);
+            answer(answer);
         }
 
         /**
@@ -377,6 +445,10 @@
          * the proxy in front of the server resets its connection.
          */
         private void end() {
+            TaggedWork begun = work;
+            if (begun != null) {
+                begun.cancel();
+            }
             if (inProgress.remove(this)) {
                 run.end(observations.nowMillis());
             }
--- a/soak/src/main/java/dev/zinniaring/soak/Soak.java
+++ b/soak/src/main/java/dev/zinniaring/soak/Soak.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One soak run: starts nodes, injects the faults of a seed under load and checks the invariants.
@@ -38,6 +39,7 @@
     private final long faultsMillis;
     private final boolean addedKinds;
     private final boolean oddKinds;
+    private final boolean stutterKinds;
     private final Path directory;
     private final Clock clock;
 
@@ -47,6 +49,7 @@
         faultsMillis = builder.faultsMillis;
         addedKinds = builder.addedKinds;
         oddKinds = builder.oddKinds;
+        stutterKinds = builder.stutterKinds;
         directory = builder.directory;
         clock = builder.clock;
     }
@@ -75,10 +78,15 @@
         Observations observations = new Observations(clock);
         ScheduledExecutorService timer =
                 Executors.newSingleThreadScheduledExecutor(NamedThreads.daemon("soak"));
-        try (Fleet fleet = new Fleet(seed, nodes, directory, clock, observations, random.split())) {
+        Stutter stutter =
+                stutterKinds
+                        ? new Stutter(
+                                new SplittableRandom(seed), new TaggedCalls(clock, observations))
+                        : null;
+        try (Fleet fleet =
+                new Fleet(seed, nodes, directory, clock, observations, random.split(), stutter)) {
             fleet.start();
-            Callers callers =
-                    new Callers(fleet.callAddresses(), observations, timer, random.split());
+            Load callers = load(fleet, stutter, observations, timer, random.split());
             callers.start();
             List<FaultPlan.Entry> plan =
                     new ArrayList<>(FaultPlan.draw(planRandom, nodes, faultsMillis));
@@ -88,13 +96,27 @@
             if (oddKinds) {
                 plan.addAll(FaultPlan.drawOdd(random.split(), nodes, faultsMillis));
             }
+            if (stutter != null) {
+                plan.addAll(FaultPlan.drawStutter(random.split(), nodes, faultsMillis));
+            }
             TimeUnit.MILLISECONDS.sleep(FAULT_FREE_START_MILLIS);
             long endMillis = FAULT_FREE_START_MILLIS;
             for (FaultPlan.Entry entry : plan) {
                 schedule(entry, fleet, observations, timer);
                 endMillis = Math.max(endMillis, entry.atMillis() + entry.durationMillis());
             }
-            TimeUnit.MILLISECONDS.sleep(endMillis + RECOVERY_MILLIS);
+            TimeUnit.MILLISECONDS.sleep(endMillis);
+            if (stutter != null) {
+                stutter.stop();
+                observations.add(
+                        new Observations.Disturbance(
+                                "stutter",
+                                false,
+                                Observations.ALL,
+                                0,
+                                observations.nowMillis() + Route.DEADLINE_MILLIS));
+            }
+            TimeUnit.MILLISECONDS.sleep(RECOVERY_MILLIS);
             long recoveredMillis = observations.nowMillis();
             TimeUnit.MILLISECONDS.sleep(RECOVERY_CHECK_MILLIS);
             callers.stop();
@@ -107,6 +129,17 @@
         }
     }
 
+    private static Load load(
+            Fleet fleet,
+            @Nullable Stutter stutter,
+            Observations observations,
+            ScheduledExecutorService timer,
+            SplittableRandom random) {
+        return stutter == null
+                ? new Callers(fleet.callAddresses(), observations, timer, random)
+                : new TaggedCallers(fleet.callAddresses(), stutter, timer, random);
+    }
+
     private static void schedule(
             FaultPlan.Entry entry,
             Fleet fleet,
@@ -181,6 +214,7 @@
         private long faultsMillis = 15_000;
         private boolean addedKinds;
         private boolean oddKinds;
+        private boolean stutterKinds;
         private Clock clock = Clock.system();
 
         private Builder(Path directory) {
@@ -217,6 +251,12 @@
             return this;
         }
 
+        /** Sets whether servers stutter, fail and call others, and addresses change hands. */
+        Builder stutterKinds(boolean value) {
+            stutterKinds = value;
+            return this;
+        }
+
         /** Sets the clock. */
         Builder clock(Clock source) {
             clock = source;
--- a/soak/src/main/java/dev/zinniaring/soak/SoakMain.java
+++ b/soak/src/main/java/dev/zinniaring/soak/SoakMain.java
@@ -1,9 +1,15 @@
 package dev.zinniaring.soak;
 
+import static java.util.stream.Collectors.counting;
+import static java.util.stream.Collectors.groupingBy;
+
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -48,6 +54,13 @@
                             + " seed")
     private boolean oddKinds;
 
+    @Option(
+            name = "--stutter-kinds",
+            usage =
+                    "let servers stutter, fail and call others; also draw ends of nodes and servers"
+                            + " that take over an address")
+    private boolean stutterKinds;
+
     @Option(name = "--help", usage = "print this help", help = true)
     private boolean help;
 
@@ -103,6 +116,19 @@
         return failed == 0 ? OK : FAILED;
     }
 
+    private static String kind(String violation) {
+        return violation.replaceFirst("^at \\d+ ms: ", "").replaceFirst(":.*", "");
+    }
+
+    /** Writes all violations to a file, as the report shows the first ones only. */
+    private void write(long seed, List<String> violations) throws SoakException {
+        try {
+            Files.write(directory.resolve("seed-" + seed).resolve("violations.txt"), violations);
+        } catch (IOException e) {
+            throw new SoakException("the violations could not be written", e);
+        }
+    }
+
     private boolean runSeed(long seed, PrintStream out) throws SoakException, InterruptedException {
         Soak.Result result =
                 Soak.builder(directory.resolve("seed-" + seed))
@@ -111,8 +137,10 @@
                         .faultsMillis(seconds * 1_000L)
                         .addedKinds(addedKinds)
                         .oddKinds(oddKinds)
+                        .stutterKinds(stutterKinds)
                         .build()
                         .run();
+        write(seed, result.violations());
         StringBuilder report = new StringBuilder();
         report.append(
                 "seed %d: %d calls, %d served, %d faults, %d violations%n"
@@ -124,6 +152,9 @@
                                 result.violations().size()));
         if (!result.violations().isEmpty()) {
             result.faults().forEach(fault -> report.append("  ").append(fault).append('\n'));
+            result.violations().stream()
+                    .collect(groupingBy(SoakMain::kind, TreeMap::new, counting()))
+                    .forEach((kind, count) -> report.append("  %d x %s%n".formatted(count, kind)));
             result.violations().stream()
                     .limit(20)
                     .forEach(each -> report.append("  violation: ").append(each).append('\n'));
--- a/soak/src/test/java/dev/zinniaring/soak/SoakTest.java
+++ b/soak/src/test/java/dev/zinniaring/soak/SoakTest.java
@@ -39,6 +39,22 @@
         assertThat(result.served()).isGreaterThan(result.calls() / 2);
     }
 
+    /** Guards against answers that are not the caller's own, or not whole. */
+    @Test
+    void aShortRunWithServersThatStutterViolatesNoInvariant() throws Exception {
+        Path directory = Path.of(System.getProperty("java.io.tmpdir"), "zinniaring-soak-stutter");
+        Soak.Result result =
+                Soak.builder(directory)
+                        .seed(3)
+                        .nodes(6)
+                        .faultsMillis(6_000)
+                        .stutterKinds(true)
+                        .build()
+                        .run();
+        assertThat(result.violations()).isEmpty();
+        assertThat(result.served()).isGreaterThan(result.calls() / 2);
+    }
+
     /** Guards against a change that violates an invariant under faults, seen only in long runs. */
     @Test
     void aShortRunViolatesNoInvariant() throws Exception {
