Send targets on as they came on the users' path

A target with bytes over 0x7F reached the server with each of them encoded again as two (UNASKED): the decoder leaves one character a byte, and the encoder wrote these as UTF-8. RequestEncoder writes one byte a character. The reading of Keep-Alive moves to a class of its own, since OutboundConnection grew too long.

--- a/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OutboundConnection.java
@@ -19,9 +19,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Locale;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -44,14 +41,6 @@
 
     private static final int FIRST_FINAL_STATUS = 200;
 
-    /** Idle connections are closed this long before the server would close them. */
-    private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
-
-    /** Keep-alive time of servers that send no Keep-Alive header. */
-    private static final long DEFAULT_KEEP_ALIVE_MILLIS = 8_000;
-
-    private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
-
     private final PooledHttpClient client;
     private final InetSocketAddress address;
     private @Nullable AnswerDecoder decoder;
@@ -72,7 +61,7 @@
     private int interimAnswers;
     private long undecodedBytes;
     private long idleSinceNanos;
-    private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
+    private long keepAliveMillis = KeepAlive.DEFAULT_MILLIS;
 
     /**
      * Creates a connection.
@@ -327,7 +316,7 @@
                 || lacksEcho(response)) {
             notReusable = true;
         }
-        readKeepAlive(response);
+        keepAliveMillis = KeepAlive.millis(response.headers(), keepAliveMillis);
         readyForReuse = true;
         ResponseListener waiting = listener;
         listener = null;
@@ -396,17 +385,6 @@
                 && !HttpUtil.isContentLengthSet(response);
     }
 
-    private void readKeepAlive(HttpResponse response) {
-        String value = response.headers().get("Keep-Alive");
-        if (value == null) {
-            return;
-        }
-        Matcher matcher = TIMEOUT.matcher(value.toLowerCase(Locale.ROOT));
-        if (matcher.find()) {
-            keepAliveMillis = Long.parseLong(matcher.group(1)) * 1_000 - KEEP_ALIVE_MARGIN_MILLIS;
-        }
-    }
-
     /**
      * Returns the connection to the pool. This is deferred to the end of the read, since the same
      * read may contain more bytes after the answer.
--- a/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PooledHttpClient.java
@@ -13,7 +13,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -339,7 +338,7 @@
             socket.pipeline()
                     .addLast(
                             new ReceiveObserver(connection),
-                            new HttpRequestEncoder(),
+                            new RequestEncoder(),
                             decoder,
                             connection);
         }
--- a/calls/src/test/java/dev/zinniaring/calls/DoubtfulRequestsTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/DoubtfulRequestsTest.java
@@ -24,6 +24,7 @@
                     new DoubtfulTraffic(mesh.port(), server)
                             .caller("caller")
                             .maxDeadlineMillis(2_000)
+                            .highBytes()
                             .play();
             assertThat(faults.stream().limit(MAX_REPORTED))
                     .as("%d faults", faults.size())
