Bound the refusals and repeats that the stuttering server's callers accept

StutteringServerTest took any failure of the node's own for right, so that a node that answers 502 to all calls would pass (found in review). It now also asks that a third of the calls get their server's answer, that a call that may run once runs once a send, and that none is refused after it has run.

--- a/calls/src/test/java/dev/zinniaring/calls/StutteringServerTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/StutteringServerTest.java
@@ -56,6 +56,7 @@
         private final ExecutorService threads = Executors.newCachedThreadPool();
         private final Random random;
         private final AtomicInteger runs = new AtomicInteger();
+        private final AtomicInteger delivered = new AtomicInteger();
 
         /** Whether a run ended in a proper answer, by the body that names it. */
         private final Map<String, Boolean> answered = new ConcurrentHashMap<>();
@@ -107,6 +108,14 @@
             }
         }
 
+        /** Returns how many runs of a call have begun since a number of runs had. */
+        private long runsSince(int before, String id) {
+            return answered.keySet().stream()
+                    .map(run -> run.split("/"))
+                    .filter(run -> run[0].equals(id) && Integer.parseInt(run[1]) > before)
+                    .count();
+        }
+
         /** Sends what comes late, and returns what comes before the next answer. */
         private String late(Socket socket, Stutter stutter, int status, String id, String run)
                 throws IOException, InterruptedException {
@@ -200,6 +209,11 @@
             if (!isRight(server, id, status, body, runsBefore)) {
                 wrong.add("%s got %s %s".formatted(id, status, body));
             }
+            long runs = server.runsSince(runsBefore, id);
+            if (method.startsWith("POST") && (runs > 1 || (runs > 0 && isRefusal(status, body)))) {
+                wrong.add("%s got %s after %d runs".formatted(id, status, runs));
+            }
+            server.delivered.addAndGet(body.isEmpty() ? 0 : 1);
             if (ScriptedServer.header(head, "Connection").equalsIgnoreCase("close")) {
                 socket.close();
                 socket = null;
@@ -208,6 +222,10 @@
         return wrong;
     }
 
+    private static boolean isRefusal(String status, String body) {
+        return body.isEmpty() && status.equals("503");
+    }
+
     /** Returns whether an answer is the node's own failure, or the one of a run since the send. */
     private static boolean isRight(
             Server server, String id, String status, String body, int runsBefore) {
@@ -241,7 +259,7 @@
                 wrong.addAll(caller.get(60, TimeUnit.SECONDS));
             }
             assertThat(wrong).isEmpty();
-            assertThat(server.answered).hasSizeGreaterThan(CALLERS * CALLS / 2);
+            assertThat(server.delivered).hasValueGreaterThan(CALLERS * CALLS / 3);
         }
     }
 }
