--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -6,6 +6,7 @@
 import dev.zinniaring.calls.Exchange;
 import dev.zinniaring.calls.HeaderNames;
 import dev.zinniaring.calls.HttpListener;
+import dev.zinniaring.calls.LoopMetrics;
 import dev.zinniaring.calls.PeerCalls;
 import dev.zinniaring.calls.PeerSender;
 import dev.zinniaring.calls.PooledHttpClient;
@@ -93,6 +94,7 @@
     private final Executor parseExecutor;
     private final LocalRecordPublisher localRecord;
     private final NodesTable nodesTable;
+    private final LoopLag loopLag;
     private boolean nodesListed;
     private long sweeps;
     private long startNanos;
@@ -126,6 +128,8 @@
         this.random = random;
         this.client = client;
         this.counters = new CallCounters(registry);
+        LoopMetrics loopMetrics = new LoopMetrics(registry);
+        this.loopLag = new LoopLag(clock, SWEEP_PERIOD, loopMetrics::lagged);
         this.activeConfiguration = new ActiveConfiguration(configurationSource.reader());
         this.serverTracker =
                 new LocalServerTracker(
@@ -287,6 +291,7 @@
     }
 
     private void sweep() {
+        loopLag.sample();
         sweeps++;
         if (sweeps % SWEEPS_PER_PURGE == 0) {
             calls.entry().pruneServerStats();
