Start calls only after the event loop has read what has arrived

Cause: an event loop started each request in the moment in which it read it, and read each connection once a round: the allocator of receive buffers reads one buffer a round unless it is told otherwise. The end of a connection that lay behind the request in the socket was found a round later, and a round of a burst lasts as long as all its calls take to start, at each hop. Shown on the code before by three tests of DisconnectTest that failed: calls whose callers had left before they were read reached the server over kept connections, at the node beside the server and through another one, and of a burst of 100 calls all were started after their clients had left. Ruled out as only cause: nodes that are cut off or frozen, since the tests have none.

Change: a connection is read to its end. The node beside a server looks the same way before it gives a free slot to a waiting call.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -83,6 +83,11 @@
     void start() {
         calls.budget().recordCall(service);
         long leftNanos = deadlineNanos - clock.nanos();
+        if (leftNanos <= 0) {
+            lastReason = "too-late";
+            failIfNoneRunning();
+            return;
+        }
         timer = calls.loop().schedule(this::timedOut, Math.max(0, leftNanos), TimeUnit.NANOSECONDS);
         exchange.onCancel(this::cancelled);
         tryNextServer();
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -94,6 +94,11 @@
         new EntryCall(this, exchange, route, configuration.number()).start();
     }
 
+    @Override
+    public boolean queued(Exchange exchange) {
+        return true;
+    }
+
     /** The kind of the route decides; a request without a route is refused and does not run. */
     @Override
     public boolean repeatable(Exchange exchange) {
--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -41,6 +42,9 @@
     /** Largest read from a socket; bounds the memory for a connection that has to wait. */
     static final int MAX_RECEIVE_BYTES = 16 * 1024;
 
+    /** Reads of a connection a round, so that one with a long body does not delay the others. */
+    private static final int MAX_READS = 16;
+
     private static final int MIN_RECEIVE_BYTES = 64;
     private static final int FIRST_RECEIVE_BYTES = 2 * 1024;
 
@@ -56,6 +60,7 @@
     private final ExchangeHandler handler;
     private final BodyBudget budget;
     private final BodyBudget.Share bodies;
+    private final StartQueue starts;
     private final Set<InboundConnection> connections = new HashSet<>();
     private @Nullable Channel channel;
     private boolean draining;
@@ -72,7 +77,13 @@
             Clock clock,
             Supplier<ClientLimits> limits,
             ExchangeHandler handler) {
-        this(loop, clock, limits, handler, BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+        this(
+                loop,
+                clock,
+                limits,
+                handler,
+                BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()),
+                startQueue(loop, clock));
     }
 
     /** Creates a listener that keeps the bodies of requests within a budget. */
@@ -82,17 +93,41 @@
             Supplier<ClientLimits> limits,
             ExchangeHandler handler,
             BodyBudget budget) {
+        this(loop, clock, limits, handler, budget, startQueue(loop, clock));
+    }
+
+    private HttpListener(
+            EventLoopGroup loop,
+            Clock clock,
+            Supplier<ClientLimits> limits,
+            ExchangeHandler handler,
+            BodyBudget budget,
+            StartQueue starts) {
         this.loop = loop;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
         this.budget = budget;
         this.bodies = budget.share();
+        this.starts = starts;
     }
 
-    /** Returns another listener, which shares the budget for bodies with this one. */
+    /** Scheduled tasks run after the loop's next reads, tasks without a delay before them. */
+    private static StartQueue startQueue(EventLoopGroup loop, Clock clock) {
+        return new StartQueue(clock, slice -> loop.schedule(slice, 0, TimeUnit.NANOSECONDS));
+    }
+
+    /**
+     * Returns another listener, which shares the budget for bodies and the queue of requests to
+     * start with this one.
+     */
     public HttpListener sibling(Supplier<ClientLimits> siblingLimits, ExchangeHandler calls) {
-        return new HttpListener(loop, clock, siblingLimits, calls, budget);
+        return new HttpListener(loop, clock, siblingLimits, calls, budget, starts);
+    }
+
+    /** Sets the action that receives how long each queued request waited, in nanoseconds. */
+    public void onStart(LongConsumer action) {
+        starts.onStart(action);
     }
 
     /**
@@ -108,10 +143,7 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(
-                                ChannelOption.RCVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator(
-                                        MIN_RECEIVE_BYTES, FIRST_RECEIVE_BYTES, MAX_RECEIVE_BYTES))
+                        .childOption(ChannelOption.RCVBUF_ALLOCATOR, readingToTheEnd())
                         .childHandler(new ConnectionInitializer());
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -128,6 +160,18 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Returns an allocator with which a connection is read until nothing is left. By default, the
+     * end behind a short read would be found one round of the event loop later.
+     */
+    private static AdaptiveRecvByteBufAllocator readingToTheEnd() {
+        AdaptiveRecvByteBufAllocator allocator =
+                new AdaptiveRecvByteBufAllocator(
+                        MIN_RECEIVE_BYTES, FIRST_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
+        allocator.respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS);
+        return allocator;
+    }
+
     /**
      * Returns the local address to which the listener is bound.
      *
@@ -198,6 +242,10 @@
         return bodies;
     }
 
+    StartQueue starts() {
+        return starts;
+    }
+
     ExchangeHandler handler() {
         return handler;
     }
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -70,6 +70,7 @@
 
     private long idleSinceNanos;
     private boolean advancing;
+    private boolean startQueued;
 
     InboundConnection(HttpListener listener) {
         this.listener = listener;
@@ -188,6 +189,38 @@
             claims.put(exchange, claim);
             readingClaim = null;
         }
+        if (listener.handler().queued(exchange)) {
+            queueStart();
+        } else {
+            startAndAdvance();
+        }
+    }
+
+    private void queueStart() {
+        if (!startQueued) {
+            startQueued = true;
+            listener.starts().add(this::startQueued);
+        }
+    }
+
+    /** Starts the requests that may run, unless the client has left since they were read. */
+    private void startQueued() {
+        startQueued = false;
+        ChannelHandlerContext open = context;
+        if (open != null && open.channel().isActive()) {
+            startAndAdvance();
+        }
+    }
+
+    private void startAndAdvance() {
+        if (!advancing && !closing) {
+            advancing = true;
+            try {
+                startRequests();
+            } finally {
+                advancing = false;
+            }
+        }
         advance();
     }
 
@@ -212,7 +245,7 @@
         return answer;
     }
 
-    /** Starts the requests that may run and sends the answers whose turn it is. */
+    /** Sends the answers whose turn it is; the requests behind them may then start. */
     private void advance() {
         if (advancing) {
             return;
@@ -220,13 +253,11 @@
         advancing = true;
         try {
             boolean sent = false;
-            boolean progress = true;
-            while (progress && !closing) {
-                progress = startRequests();
-                while (sendNext()) {
-                    sent = true;
-                    progress = true;
-                }
+            while (!closing && sendNext()) {
+                sent = true;
+            }
+            if (!closing && pipeline.mayStart()) {
+                queueStart();
             }
             if (continueExpected && pipeline.isEmpty() && !closing) {
                 continueExpected = false;
@@ -243,17 +274,14 @@
         }
     }
 
-    private boolean startRequests() {
-        boolean started = false;
+    private void startRequests() {
         while (writable()) {
             RequestPipeline.Entry<Exchange, Answer> next = pipeline.start();
             if (next == null) {
-                return started;
+                return;
             }
-            started = true;
             listener.handler().handle(next.request());
         }
-        return started;
     }
 
     /** Returns whether the client reads its answers. */
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -61,6 +61,7 @@
     private Runnable misdirected = () -> {};
     private Consumer<String> leavingListener = serverId -> {};
     private boolean awaitingLimit;
+    private boolean dispatchQueued;
     private long downUntilNanos;
     private long backOffNanos = MIN_BACK_OFF_NANOS;
     private @Nullable String refusalReason;
@@ -314,6 +315,22 @@
         }
     }
 
+    /**
+     * Fills free slots once the event loop has read what has arrived, since the callers of waiting
+     * calls may have left.
+     */
+    private void dispatchSoon() {
+        if (!dispatchQueued) {
+            dispatchQueued = true;
+            client.loop()
+                    .execute(
+                            () -> {
+                                dispatchQueued = false;
+                                dispatchWaiting();
+                            });
+        }
+    }
+
     /** A running call, which occupies one slot. */
     private final class Run implements ResponseListener {
         private final OwnerJob job;
@@ -350,7 +367,7 @@
                         guarded(CrashGuard.Run::failed);
                         admission.runTimes().abandoned(job.routeName(), clock.nanos() - startNanos);
                         release();
-                        dispatchWaiting();
+                        dispatchSoon();
                     });
         }
 
@@ -417,7 +434,7 @@
                 guarded(CrashGuard.Run::notSent);
                 misdirected.run();
                 job.end(OwnerResult.declined(OTHER_SERVER, load()));
-                dispatchWaiting();
+                dispatchSoon();
                 return;
             }
             observe(server.serverId(), ServerNotice.of(answer.headers(), names));
@@ -432,7 +449,7 @@
                         .completed(job.routeName(), clock.nanos() - startNanos, answer.status());
                 job.end(OwnerResult.ran(answer, load()));
             }
-            dispatchWaiting();
+            dispatchSoon();
         }
 
         private void endUnknown(String reason) {
@@ -460,7 +477,7 @@
                     endUnknown(reason);
                 }
             }
-            dispatchWaiting();
+            dispatchSoon();
         }
     }
 }
--- a/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
@@ -27,6 +27,11 @@
         return exchange.headers().contains(HopHeaders.OWNER_HOP);
     }
 
+    @Override
+    public boolean queued(Exchange exchange) {
+        return true;
+    }
+
     @Override
     public void handle(Exchange exchange) {
         HttpHeaders headers = exchange.headers();
--- a/calls/src/main/java/dev/zinniaring/calls/RequestPipeline.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestPipeline.java
@@ -86,18 +86,27 @@
 
     /** Marks the next request that may start as started and returns it, or null if none may. */
     @Nullable Entry<T, A> start() {
+        Entry<T, A> next = startable();
+        if (next != null) {
+            next.started = true;
+            running++;
+        }
+        return next;
+    }
+
+    /** Returns whether a request may start. */
+    boolean mayStart() {
+        return startable() != null;
+    }
+
+    private @Nullable Entry<T, A> startable() {
         if (ended || running >= MAX_RUNNING) {
             return null;
         }
         Entry<T, A> first = entries.peek();
         for (Entry<T, A> entry : entries) {
             if (!entry.started) {
-                if (entry != first && !entry.repeatable) {
-                    return null;
-                }
-                entry.started = true;
-                running++;
-                return entry;
+                return entry == first || entry.repeatable ? entry : null;
             }
         }
         return null;
--- a/calls/src/test/java/dev/zinniaring/calls/DisconnectTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/DisconnectTest.java
@@ -10,10 +10,13 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -24,6 +27,7 @@
 /** Tests that a listener notices clients that leave while their requests are unanswered. */
 class DisconnectTest {
     private static final int WAIT_SECONDS = 5;
+    private static final int KEPT_CONNECTIONS = 5;
 
     /** More than the listener reads ahead of a request that waits. */
     private static final int PIPELINED_BYTES = 32 << 20;
@@ -130,6 +134,150 @@
         }
     }
 
+    /** The request and the end of its connection both lie in the socket when the node reads it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aCallWhoseClientLeftBeforeItWasReadReachesNoServer(boolean beside) throws Exception {
+        try (ScriptedServer server = new ScriptedServer();
+                OneServerMesh mesh = new OneServerMesh(server.address(), 20, beside)) {
+            openKeptConnections(server, mesh);
+            CountDownLatch blocked = block(mesh.group);
+            for (int i = 0; i < KEPT_CONNECTIONS; i++) {
+                try (Socket socket = open(mesh.port())) {
+                    get(socket, "/safe/hang", "left-" + i);
+                }
+            }
+            blocked.countDown();
+            awaitNoConnections(mesh.entryPort, mesh.group);
+            assertThat(server.requests.poll(300, TimeUnit.MILLISECONDS)).isNull();
+        }
+    }
+
+    /** The slot gets free in the same round of the event loop in which the callers' ends arrive. */
+    @Test
+    void aWaitingCallWhoseClientLeftGetsNoSlot() throws Exception {
+        try (ScriptedServer server = new ScriptedServer();
+                OneServerMesh mesh = new OneServerMesh(server.address(), 1, true);
+                Socket running = open(mesh.port())) {
+            get(running, "/safe/x", "running");
+            assertThat(server.request()).contains("/safe/x");
+            CountDownLatch blocked;
+            try (Socket waiting = open(mesh.port())) {
+                get(waiting, "/safe/hang", "waiting");
+                awaitWaiting(mesh, 1);
+                blocked = block(mesh.group);
+                server.answers.add(
+                        "HTTP/1.1 200 OK\r\nZinniaring-Call-Id: ID\r\nContent-Length: 0\r\n\r\n");
+            }
+            blocked.countDown();
+            assertThat(ScriptedServer.head(running.getInputStream())).contains("200 OK");
+            assertThat(server.requests.poll(300, TimeUnit.MILLISECONDS)).isNull();
+        }
+    }
+
+    /** A burst of calls, each of which costs a node with little processor time several ms. */
+    @Test
+    void callsOfABurstWhoseClientsLeaveWhileOthersAreStartedAreNotStarted() throws Exception {
+        int calls = 100;
+        BlockingQueue<Exchange> started = new LinkedBlockingQueue<>();
+        CountDownLatch first = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        HttpListener slow =
+                new HttpListener(
+                        group,
+                        Clock.system(),
+                        () -> ClientLimits.DEFAULT,
+                        new QueuedHandler(
+                                exchange -> {
+                                    started.add(exchange);
+                                    first.countDown();
+                                    awaitUnlessInterrupted(left);
+                                }));
+        slow.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        CountDownLatch blocked = block(group);
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            Socket socket = open(slow.address().getPort());
+            post(socket, "/burst", 10);
+            sockets.add(socket);
+        }
+        blocked.countDown();
+        assertThat(first.await(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        TimeUnit.NANOSECONDS.sleep(2 * StartQueue.SLICE_NANOS);
+        left.countDown();
+        awaitNoConnections(slow, group);
+        assertThat(started).hasSizeLessThanOrEqualTo(3);
+    }
+
+    /** Starts calls as the call path does, when the event loop has read what has arrived. */
+    private record QueuedHandler(Consumer<Exchange> action) implements ExchangeHandler {
+        @Override
+        public void handle(Exchange exchange) {
+            action.accept(exchange);
+        }
+
+        @Override
+        public boolean queued(Exchange exchange) {
+            return true;
+        }
+    }
+
+    /** Leaves idle connections to the server, and to the node beside it. */
+    private static void openKeptConnections(ScriptedServer server, OneServerMesh mesh)
+            throws Exception {
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < KEPT_CONNECTIONS; i++) {
+            Socket caller = open(mesh.port());
+            callers.add(caller);
+            get(caller, "/safe/x", "kept-" + i);
+            assertThat(server.request()).contains("/safe/x");
+        }
+        for (int i = 0; i < KEPT_CONNECTIONS; i++) {
+            server.answers.add(
+                    "HTTP/1.1 200 OK\r\nZinniaring-Call-Id: ID\r\nContent-Length: 0\r\n\r\n");
+        }
+        for (Socket caller : callers) {
+            assertThat(ScriptedServer.head(caller.getInputStream())).contains("200 OK");
+            caller.close();
+        }
+        awaitNoConnections(mesh.entryPort, mesh.group);
+    }
+
+    private static void get(Socket socket, String target, String callId) throws IOException {
+        String head =
+                "GET %s HTTP/1.1\r\nHost: h\r\nZinniaring-Call-Id: %s\r\n\r\n"
+                        .formatted(target, callId);
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static void awaitNoConnections(HttpListener listener, NioEventLoopGroup loop)
+            throws Exception {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        int open = 1;
+        while (open > 0 && System.nanoTime() < endNanos) {
+            open = loop.submit(listener::connections).get();
+        }
+        assertThat(open).as("open connections").isZero();
+    }
+
+    /** Keeps the event loop from reading until the result is counted down. */
+    private static CountDownLatch block(NioEventLoopGroup loop) {
+        CountDownLatch released = new CountDownLatch(1);
+        loop.execute(() -> awaitUnlessInterrupted(released));
+        return released;
+    }
+
+    private static void awaitUnlessInterrupted(CountDownLatch latch) {
+        try {
+            latch.await(WAIT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Waits until calls wait for the server while one is running. */
     private static void awaitWaiting(OneServerMesh mesh, int count) throws Exception {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
--- a/calls/src/test/java/dev/zinniaring/calls/OneServerMesh.java
+++ b/calls/src/test/java/dev/zinniaring/calls/OneServerMesh.java
@@ -34,7 +34,7 @@
     final AtomicBoolean leaving = new AtomicBoolean();
     final OwnerCalls owner;
     final EntryCalls entry;
-    private final HttpListener entryPort;
+    final HttpListener entryPort;
     private final ServerList servers;
 
     /** Starts both nodes; the server has {@code slots} slots. */
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -4,6 +4,7 @@
 import dev.zinniaring.calls.Answer;
 import dev.zinniaring.calls.CallCounters;
 import dev.zinniaring.calls.Exchange;
+import dev.zinniaring.calls.ExchangeHandler;
 import dev.zinniaring.calls.HeaderNames;
 import dev.zinniaring.calls.HttpListener;
 import dev.zinniaring.calls.LoopMetrics;
@@ -149,6 +150,7 @@
         this.peerCalls = new PeerCalls(calls.owner(), names);
         this.callListener =
                 new HttpListener(group, clock, activeConfiguration::limits, calls.entry());
+        callListener.onStart(loopMetrics::started);
         this.peerListener = peerListener();
         this.configurationWatcher =
                 watcher(
@@ -221,7 +223,7 @@
 
     private HttpListener peerListener() {
         return callListener.sibling(
-                () -> activeConfiguration.limits().forPeers(), this::handlePeerRequest);
+                () -> activeConfiguration.limits().forPeers(), new PeerRequests());
     }
 
     private TableWatcher watcher(
@@ -390,16 +392,6 @@
                 calls.guard().hash());
     }
 
-    private void handlePeerRequest(Exchange exchange) {
-        if (PeerCalls.isCall(exchange)) {
-            peerCalls.handle(exchange);
-        } else if (exchange.path().equals(PeerSender.ALIVE_PATH)) {
-            exchange.answer(Answer.of(200));
-        } else {
-            gossip.handle(exchange);
-        }
-    }
-
     /**
      * Handles an announcement of a backend server.
      *
@@ -493,4 +485,23 @@
                 calls.owner().latestRuns(),
                 directory.records());
     }
+
+    /** Requests of other nodes. Only calls wait for their start; digests and probes do not. */
+    private final class PeerRequests implements ExchangeHandler {
+        @Override
+        public void handle(Exchange exchange) {
+            if (PeerCalls.isCall(exchange)) {
+                peerCalls.handle(exchange);
+            } else if (exchange.path().equals(PeerSender.ALIVE_PATH)) {
+                exchange.answer(Answer.of(200));
+            } else {
+                gossip.handle(exchange);
+            }
+        }
+
+        @Override
+        public boolean queued(Exchange exchange) {
+            return PeerCalls.isCall(exchange);
+        }
+    }
 }
