Tell how long each configuration document waited and was read

The line now has waited_ms and read_ms; zinniaring_configuration_seconds{step} and zinniaring_configuration_documents_total{outcome} count all documents, also those that change nothing.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
@@ -3,6 +3,7 @@
 import dev.zinniaring.calls.ClientLimits;
 import dev.zinniaring.calls.Configuration;
 import dev.zinniaring.calls.ServerSettings;
+import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.InvalidTablesException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
@@ -15,8 +16,11 @@
  */
 final class ActiveConfiguration {
     private static final Logger log = LoggerFactory.getLogger("configuration");
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final ConfigurationReader reader;
+    private final ConfigurationMetrics metrics;
+    private final Clock clock;
     private final AtomicReference<@Nullable Loaded> loaded = new AtomicReference<>();
     private volatile Runnable changeListener = () -> {};
 
@@ -24,8 +28,10 @@
     @SuppressWarnings("ArrayRecordComponent") // instances are never compared
     record Loaded(Configuration configuration, byte[] compressed) {}
 
-    ActiveConfiguration(ConfigurationReader reader) {
+    ActiveConfiguration(ConfigurationReader reader, ConfigurationMetrics metrics, Clock clock) {
         this.reader = reader;
+        this.metrics = metrics;
+        this.clock = clock;
     }
 
     /** Sets an action to run after each change of the active version, on the offering thread. */
@@ -37,9 +43,12 @@
      * Activates a configuration if it is newer than the active one.
      *
      * @param source origin of the document, for the log
+     * @param arrivedNanos clock reading when it had arrived, in nanoseconds
      * @return whether the document is valid, even if its version is not newer
      */
-    synchronized boolean offer(byte[] bytes, String source) {
+    synchronized boolean offer(byte[] bytes, String source, long arrivedNanos) {
+        long startNanos = clock.nanos();
+        long waitedNanos = startNanos - arrivedNanos;
         Configuration offered;
         try {
             offered = reader.read(bytes);
@@ -48,19 +57,25 @@
                     "rejected invalid configuration from={} problems=\"{}\"",
                     source,
                     e.getMessage());
+            metrics.read("rejected", waitedNanos, clock.nanos() - startNanos);
             return false;
         }
+        long readNanos = clock.nanos() - startNanos;
         Loaded current = loaded.get();
         if (current != null && offered.number() <= current.configuration().number()) {
+            metrics.read("superseded", waitedNanos, readNanos);
             return true;
         }
+        metrics.read("activated", waitedNanos, readNanos);
         loaded.set(new Loaded(offered, Compression.compress(bytes)));
         changeListener.run();
         log.info(
-                "activated configuration version={} routes={} from={}",
+                "activated configuration version={} routes={} from={} waited_ms={} read_ms={}",
                 offered.number(),
                 offered.tables().routes().size(),
-                source);
+                source,
+                waitedNanos / NANOS_PER_MILLI,
+                readNanos / NANOS_PER_MILLI);
         return true;
     }
 
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -323,14 +323,17 @@
                 answer -> {
                     pullingConfiguration = false;
                     if (answer != null) {
-                        parseExecutor.execute(() -> offerConfiguration(answer.body(), address));
+                        long arrivedNanos = clock.nanos();
+                        parseExecutor.execute(
+                                () -> offerConfiguration(answer.body(), address, arrivedNanos));
                     }
                 });
     }
 
-    private void offerConfiguration(byte[] compressed, String address) {
+    private void offerConfiguration(byte[] compressed, String address, long arrivedNanos) {
         try {
-            activeConfiguration.offer(Compression.decompress(compressed), "peer " + address);
+            activeConfiguration.offer(
+                    Compression.decompress(compressed), "peer " + address, arrivedNanos);
         } catch (SidecarException e) {
             log.warn(
                     "rejected malformed configuration document from={} cause=\"{}\"",
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -131,7 +131,9 @@
         this.counters = new CallCounters(registry);
         LoopMetrics loopMetrics = new LoopMetrics(registry);
         this.loopLag = new LoopLag(clock, SWEEP_PERIOD, loopMetrics::lagged);
-        this.activeConfiguration = new ActiveConfiguration(configurationSource.reader());
+        this.activeConfiguration =
+                new ActiveConfiguration(
+                        configurationSource.reader(), new ConfigurationMetrics(registry), clock);
         this.serverTracker =
                 new LocalServerTracker(
                         clock, settings.service(), settings.server(), this::serverSettings);
@@ -362,7 +364,9 @@
         freshness.recordConfirmation(0);
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(configurationSource.configurationKey()) && !row.deleted()) {
-                parseExecutor.execute(() -> activeConfiguration.offer(row.value(), "store"));
+                long arrivedNanos = clock.nanos();
+                parseExecutor.execute(
+                        () -> activeConfiguration.offer(row.value(), "store", arrivedNanos));
             }
         }
     }
