--- a/bench/src/main/java/dev/zinniaring/bench/Experiments.java
+++ b/bench/src/main/java/dev/zinniaring/bench/Experiments.java
@@ -10,6 +10,7 @@
                     new AddedLatencyExperiment(),
                     new BalanceExperiment(),
                     new CallCostExperiment(),
+                    new ConfigurationVersionsExperiment(),
                     new ConvergenceExperiment(),
                     new CrashingRequestExperiment(),
                     new EndingRequestExperiment(),
--- a/calls/src/main/java/dev/zinniaring/calls/Configuration.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Configuration.java
@@ -13,7 +13,6 @@
  */
 public final class Configuration {
     private final long number;
-    private final Tables tables;
     private final Map<String, ServerSettings> servers;
     private final ClientLimits limits;
     private final RouteTable routes;
@@ -29,31 +28,51 @@
      */
     public Configuration(
             long number, Tables tables, Map<String, ServerSettings> servers, ClientLimits limits) {
+        this(number, compile(tables), servers, limits);
+    }
+
+    /**
+     * Creates a configuration of routes that have been compiled.
+     *
+     * @param number version number; a higher version replaces a lower one
+     * @param servers backend server settings by service name
+     * @param limits limits for requests from clients
+     */
+    public Configuration(
+            long number,
+            RouteTable routes,
+            Map<String, ServerSettings> servers,
+            ClientLimits limits) {
         this.number = number;
-        this.tables = tables;
+        this.routes = routes;
         this.servers = Map.copyOf(servers);
         this.limits = limits;
-        this.routes = new RouteTable(tables.routes().values(), this::compile);
     }
 
-    private CallRoute compile(Route route) {
+    private static RouteTable compile(Tables tables) {
+        RouteTable.Builder compiled = RouteTable.builder();
+        for (Route route : tables.routes().values()) {
+            compiled.put(compile(route, tables));
+        }
+        return compiled.build();
+    }
+
+    private static CallRoute compile(Route route, Tables tables) {
         Rank rank = tables.ranks().get(route.rank());
         Map<String, Integer> services = new TreeMap<>();
         if (route.split().isEmpty()) {
-            services.put(service(route.pool()), 1);
+            services.put(service(route.pool(), tables), 1);
         } else {
             route.split()
-                    .forEach((pool, weight) -> services.merge(service(pool), weight, this::sum));
+                    .forEach(
+                            (pool, weight) ->
+                                    services.merge(service(pool, tables), weight, Integer::sum));
         }
         return new CallRoute(
                 route, rank == null ? 0 : rank.order(), WeightedRoundRobin.of(services));
     }
 
-    private int sum(int one, int other) {
-        return one + other;
-    }
-
-    private String service(String poolName) {
+    private static String service(String poolName, Tables tables) {
         Pool pool = tables.pools().get(poolName);
         if (pool == null) {
             throw new IllegalArgumentException(
@@ -67,11 +86,6 @@
         return number;
     }
 
-    /** Returns the tables from which this configuration was compiled. */
-    public Tables tables() {
-        return tables;
-    }
-
     /** Returns the limits for requests from clients. */
     public ClientLimits limits() {
         return limits;
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
@@ -72,7 +72,7 @@
         log.info(
                 "activated configuration version={} routes={} from={} waited_ms={} read_ms={}",
                 offered.number(),
-                offered.tables().routes().size(),
+                offered.routes().size(),
                 source,
                 waitedNanos / NANOS_PER_MILLI,
                 readNanos / NANOS_PER_MILLI);
