Read only the newest of the configuration documents that wait

Change: documents wait in an inbox; the newest is read first, by the number at its head, and those that are no newer than the active version are dropped unread. An older one is read only if the newer ones are invalid. The next document is pulled from a peer when the last one has been read. A document that came compressed is passed on as it came, instead of being compressed again.

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
@@ -24,9 +24,8 @@
     private final AtomicReference<@Nullable Loaded> loaded = new AtomicReference<>();
     private volatile Runnable changeListener = () -> {};
 
-    /** A configuration with the gzip-compressed document that it was parsed from. */
-    @SuppressWarnings("ArrayRecordComponent") // instances are never compared
-    record Loaded(Configuration configuration, byte[] compressed) {}
+    /** A configuration with the document that it was read from. */
+    record Loaded(Configuration configuration, ConfigurationDocument document) {}
 
     ActiveConfiguration(ConfigurationReader reader, ConfigurationMetrics metrics, Clock clock) {
         this.reader = reader;
@@ -40,45 +39,67 @@
     }
 
     /**
-     * Activates a configuration if it is newer than the active one.
+     * Returns the version number that a document has, {@link ConfigurationReader#UNKNOWN_NUMBER} if
+     * that is unknown until it is read, or 0 if the document is malformed.
+     */
+    synchronized long number(ConfigurationDocument document) {
+        try {
+            return reader.number(document.bytes());
+        } catch (SidecarException e) {
+            logRejected(document, e.getMessage());
+            return 0;
+        }
+    }
+
+    /**
+     * Activates the configuration of a document if it is newer than the active one. A document that
+     * is known to be no newer is not read.
      *
-     * @param source origin of the document, for the log
-     * @param arrivedNanos clock reading when it had arrived, in nanoseconds
-     * @return whether the document is valid, even if its version is not newer
+     * @return whether the document is valid, as far as it was read
      */
-    synchronized boolean offer(byte[] bytes, String source, long arrivedNanos) {
+    synchronized boolean offer(ConfigurationDocument document) {
         long startNanos = clock.nanos();
-        long waitedNanos = startNanos - arrivedNanos;
+        long waitedNanos = startNanos - document.arrivedNanos();
         Configuration offered;
         try {
+            byte[] bytes = document.bytes();
+            if (reader.number(bytes) <= number()) {
+                metrics.dropped();
+                return true;
+            }
             offered = reader.read(bytes);
-        } catch (InvalidTablesException e) {
-            log.warn(
-                    "rejected invalid configuration from={} problems=\"{}\"",
-                    source,
-                    e.getMessage());
+        } catch (InvalidTablesException | SidecarException e) {
+            logRejected(document, e.getMessage());
             metrics.read("rejected", waitedNanos, clock.nanos() - startNanos);
             return false;
         }
         long readNanos = clock.nanos() - startNanos;
-        Loaded current = loaded.get();
-        if (current != null && offered.number() <= current.configuration().number()) {
+        if (offered.number() <= number()) {
             metrics.read("superseded", waitedNanos, readNanos);
             return true;
         }
         metrics.read("activated", waitedNanos, readNanos);
-        loaded.set(new Loaded(offered, Compression.compress(bytes)));
+        // Other nodes ask for this form on the event loop, which must not wait for it.
+        document.compressed();
+        loaded.set(new Loaded(offered, document));
         changeListener.run();
         log.info(
                 "activated configuration version={} routes={} from={} waited_ms={} read_ms={}",
                 offered.number(),
                 offered.routes().size(),
-                source,
+                document.source(),
                 waitedNanos / NANOS_PER_MILLI,
                 readNanos / NANOS_PER_MILLI);
         return true;
     }
 
+    private static void logRejected(ConfigurationDocument document, @Nullable String problems) {
+        log.warn(
+                "rejected invalid configuration from={} problems=\"{}\"",
+                document.source(),
+                problems);
+    }
+
     @Nullable Configuration get() {
         Loaded current = loaded.get();
         return current == null ? null : current.configuration();
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -59,7 +59,8 @@
     private final PeerClient client;
     private final Clock clock;
     private final RandomGenerator random;
-    private final Executor parseExecutor;
+    private final Executor loop;
+    private final ConfigurationInbox inbox;
     private final ActiveConfiguration activeConfiguration;
     private final ServerDirectory directory;
     private final Freshness freshness;
@@ -88,8 +89,8 @@
     /**
      * Creates the gossip component.
      *
-     * @param parseExecutor runs the parsing of configuration documents, which would block the event
-     *     loop
+     * @param loop event loop on which the component runs
+     * @param inbox receives the configuration documents of other nodes
      * @param digests supplies the digest of this node's current state
      * @param storeFailing whether the store does not respond to this node
      * @param ownAddress {@code ip:port} at which this node accepts digests
@@ -99,7 +100,8 @@
             PeerClient client,
             Clock clock,
             RandomGenerator random,
-            Executor parseExecutor,
+            Executor loop,
+            ConfigurationInbox inbox,
             ActiveConfiguration activeConfiguration,
             ServerDirectory directory,
             Freshness freshness,
@@ -111,7 +113,8 @@
         this.client = client;
         this.clock = clock;
         this.random = random;
-        this.parseExecutor = parseExecutor;
+        this.loop = loop;
+        this.inbox = inbox;
         this.activeConfiguration = activeConfiguration;
         this.directory = directory;
         this.freshness = freshness;
@@ -260,7 +263,9 @@
     private void handleConfiguration(Exchange exchange) {
         ActiveConfiguration.Loaded loaded = activeConfiguration.loaded();
         exchange.answer(
-                loaded == null ? Answer.of(NOT_FOUND) : Answer.bytes(OK, loaded.compressed()));
+                loaded == null
+                        ? Answer.of(NOT_FOUND)
+                        : Answer.bytes(OK, loaded.document().compressed()));
     }
 
     private void reconcile(Digest theirs, String address, boolean sameZone) {
@@ -321,27 +326,18 @@
                 new byte[0],
                 BODY_TIMEOUT_MILLIS,
                 answer -> {
-                    pullingConfiguration = false;
-                    if (answer != null) {
-                        long arrivedNanos = clock.nanos();
-                        parseExecutor.execute(
-                                () -> offerConfiguration(answer.body(), address, arrivedNanos));
+                    if (answer == null) {
+                        pullingConfiguration = false;
+                        return;
                     }
+                    // The next one is pulled when this one has been read, and is the newest then.
+                    inbox.add(
+                            ConfigurationDocument.compressed(
+                                    answer.body(), "peer " + address, clock.nanos()),
+                            () -> loop.execute(() -> pullingConfiguration = false));
                 });
     }
 
-    private void offerConfiguration(byte[] compressed, String address, long arrivedNanos) {
-        try {
-            activeConfiguration.offer(
-                    Compression.decompress(compressed), "peer " + address, arrivedNanos);
-        } catch (SidecarException e) {
-            log.warn(
-                    "rejected malformed configuration document from={} cause=\"{}\"",
-                    address,
-                    e.getMessage());
-        }
-    }
-
     private void pullServers(String address) {
         if (pullingServers) {
             return;
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -92,7 +92,7 @@
     private final PeerGossip gossip;
     private final ServerProbe probe;
     private final GracefulShutdown shutdown;
-    private final Executor parseExecutor;
+    private final ConfigurationInbox inbox;
     private final LocalRecordPublisher localRecord;
     private final NodesTable nodesTable;
     private final LoopLag loopLag;
@@ -123,7 +123,6 @@
         this.configurationSource = configurationSource;
         this.clock = clock;
         this.group = group;
-        this.parseExecutor = parseExecutor;
         this.loop = group.next();
         this.scheduler = new LoopScheduler(loop);
         this.random = random;
@@ -134,6 +133,7 @@
         this.activeConfiguration =
                 new ActiveConfiguration(
                         configurationSource.reader(), new ConfigurationMetrics(registry), clock);
+        this.inbox = new ConfigurationInbox(activeConfiguration, parseExecutor);
         this.serverTracker =
                 new LocalServerTracker(
                         clock, settings.service(), settings.server(), this::serverSettings);
@@ -212,7 +212,8 @@
                 peerClient,
                 clock,
                 random,
-                parseExecutor,
+                scheduler::execute,
+                inbox,
                 activeConfiguration,
                 directory,
                 freshness,
@@ -364,9 +365,7 @@
         freshness.recordConfirmation(0);
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(configurationSource.configurationKey()) && !row.deleted()) {
-                long arrivedNanos = clock.nanos();
-                parseExecutor.execute(
-                        () -> activeConfiguration.offer(row.value(), "store", arrivedNanos));
+                inbox.add(ConfigurationDocument.plain(row.value(), "store", clock.nanos()));
             }
         }
     }
