--- a/calls/src/test/java/dev/zinniaring/calls/EndlessAnswerTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/EndlessAnswerTest.java
@@ -139,6 +139,7 @@
                             "X-More: 1\r\n".repeat(800));
             case "/surplus" -> repeat(out, OK + "Content-Length: 2\r\n\r\nok", chunk);
             case "/drip" -> drip(out);
+            case "/slow" -> slow(out);
             default -> write(out, OK + "Content-Length: 2\r\n\r\nok");
         }
     }
@@ -159,6 +160,15 @@
         }
     }
 
+    /** Sends a body in steps that keep many connections below the limit of a single answer. */
+    private static void slow(OutputStream out) throws IOException, InterruptedException {
+        write(out, OK + "Content-Length: 2000000000\r\n\r\n");
+        while (true) {
+            write(out, "x".repeat(4_000));
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
     private static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
@@ -236,4 +246,23 @@
         assertThat(closes.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("/surplus");
         assertThat(status(send("/ok"))).isEqualTo("200");
     }
+
+    /** Each answer alone is far below the limit of one answer when the heap is full. */
+    @Test
+    void manyAnswersWithoutEndAtOnceDoNotFillTheHeap() throws Exception {
+        List<String> kinds =
+                List.of("/slow", "/chunks", "/head", "/slow", "/blank-lines", "/no-length");
+        List<Socket> endless = new ArrayList<>();
+        for (int i = 0; i < 54; i++) {
+            endless.add(send(kinds.get(i % kinds.size())));
+        }
+        for (int i = 0; i < 20; i++) {
+            assertThat(status(send("/ok"))).isEqualTo("200");
+        }
+        for (Socket socket : endless) {
+            assertThat(status(socket)).isIn("502", "504");
+        }
+        assertThat(status(send("/ok"))).isEqualTo("200");
+        assertThat(node.isAlive()).isTrue();
+    }
 }
