Give the requests of other nodes a class of their own

No change of behaviour: PeerRequests, and methods for three parts of the constructor. startQueued of InboundConnection was the name of a field and of a method.

--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -70,7 +70,7 @@
 
     private long idleSinceNanos;
     private boolean advancing;
-    private boolean startQueued;
+    private boolean startPending;
 
     InboundConnection(HttpListener listener) {
         this.listener = listener;
@@ -197,15 +197,15 @@
     }
 
     private void queueStart() {
-        if (!startQueued) {
-            startQueued = true;
-            listener.starts().add(this::startQueued);
+        if (!startPending) {
+            startPending = true;
+            listener.starts().add(this::startUnlessLeft);
         }
     }
 
     /** Starts the requests that may run, unless the client has left since they were read. */
-    private void startQueued() {
-        startQueued = false;
+    private void startUnlessLeft() {
+        startPending = false;
         ChannelHandlerContext open = context;
         if (open != null && open.channel().isActive()) {
             startAndAdvance();
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -1,15 +1,11 @@
 package dev.zinniaring.sidecar;
 
 import dev.zinniaring.calls.Addresses;
-import dev.zinniaring.calls.Answer;
 import dev.zinniaring.calls.CallCounters;
-import dev.zinniaring.calls.Exchange;
-import dev.zinniaring.calls.ExchangeHandler;
 import dev.zinniaring.calls.HeaderNames;
 import dev.zinniaring.calls.HttpListener;
 import dev.zinniaring.calls.LoopMetrics;
 import dev.zinniaring.calls.PeerCalls;
-import dev.zinniaring.calls.PeerSender;
 import dev.zinniaring.calls.PooledHttpClient;
 import dev.zinniaring.calls.ServerSettings;
 import dev.zinniaring.kernel.Clock;
@@ -33,7 +29,7 @@
 /**
  * The platform-independent part of a sidecar process: watches the store, maintains the list of
  * backend servers and forwards calls. Everything runs on one event loop, except that configuration
- * documents are parsed on another thread.
+ * documents are read on another thread.
  */
 public final class Sidecar {
     private static final Logger log = LoggerFactory.getLogger("node");
@@ -104,8 +100,7 @@
      * Assembles a sidecar; {@link #start} runs it.
      *
      * @param group an event loop group of one thread
-     * @param parseExecutor runs the parsing of configuration documents, which would block the event
-     *     loop
+     * @param parseExecutor reads configuration documents, which would block the event loop
      */
     public Sidecar(
             SidecarSettings settings,
@@ -130,13 +125,9 @@
         this.counters = new CallCounters(registry);
         LoopMetrics loopMetrics = new LoopMetrics(registry);
         this.loopLag = new LoopLag(clock, SWEEP_PERIOD, loopMetrics::lagged);
-        this.activeConfiguration =
-                new ActiveConfiguration(
-                        configurationSource.reader(), new ConfigurationMetrics(registry), clock);
+        this.activeConfiguration = activeConfiguration(registry);
         this.inbox = new ConfigurationInbox(activeConfiguration, parseExecutor);
-        this.serverTracker =
-                new LocalServerTracker(
-                        clock, settings.service(), settings.server(), this::serverSettings);
+        this.serverTracker = serverTracker();
         this.calls =
                 CallPath.builder(settings)
                         .names(names)
@@ -150,9 +141,7 @@
                         .servers(directory::servers)
                         .build();
         this.peerCalls = new PeerCalls(calls.owner(), names);
-        this.callListener =
-                new HttpListener(group, clock, activeConfiguration::limits, calls.entry());
-        callListener.onStart(loopMetrics::started);
+        this.callListener = callListener(loopMetrics);
         this.peerListener = peerListener();
         this.configurationWatcher =
                 watcher(
@@ -183,6 +172,23 @@
         this.nodesTable = nodesTable();
     }
 
+    private LocalServerTracker serverTracker() {
+        return new LocalServerTracker(
+                clock, settings.service(), settings.server(), this::serverSettings);
+    }
+
+    private ActiveConfiguration activeConfiguration(PrometheusRegistry registry) {
+        return new ActiveConfiguration(
+                configurationSource.reader(), new ConfigurationMetrics(registry), clock);
+    }
+
+    private HttpListener callListener(LoopMetrics metrics) {
+        HttpListener listener =
+                new HttpListener(group, clock, activeConfiguration::limits, calls.entry());
+        listener.onStart(metrics::started);
+        return listener;
+    }
+
     private GracefulShutdown gracefulShutdown(HeaderNames names) {
         return new GracefulShutdown(
                 settings.grace(),
@@ -226,7 +232,8 @@
 
     private HttpListener peerListener() {
         return callListener.sibling(
-                () -> activeConfiguration.limits().forPeers(), new PeerRequests());
+                () -> activeConfiguration.limits().forPeers(),
+                new PeerRequests(peerCalls, exchange -> gossip.handle(exchange)));
     }
 
     private TableWatcher watcher(
@@ -490,23 +497,4 @@
                 calls.owner().latestRuns(),
                 directory.records());
     }
-
-    /** Requests of other nodes. Only calls wait for their start; digests and probes do not. */
-    private final class PeerRequests implements ExchangeHandler {
-        @Override
-        public void handle(Exchange exchange) {
-            if (PeerCalls.isCall(exchange)) {
-                peerCalls.handle(exchange);
-            } else if (exchange.path().equals(PeerSender.ALIVE_PATH)) {
-                exchange.answer(Answer.of(200));
-            } else {
-                gossip.handle(exchange);
-            }
-        }
-
-        @Override
-        public boolean queued(Exchange exchange) {
-            return PeerCalls.isCall(exchange);
-        }
-    }
 }
