--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ActiveConfiguration.java
@@ -24,9 +24,8 @@
     private final AtomicReference<@Nullable Loaded> loaded = new AtomicReference<>();
     private volatile Runnable changeListener = () -> {};
 
-    /** A configuration with the document that it was read from, and how it was reached. */
-    record Loaded(
-            Configuration configuration, ConfigurationDocument document, VersionSteps steps) {}
+    /** A configuration with the document that it was read from. */
+    record Loaded(Configuration configuration, ConfigurationDocument document) {}
 
     ActiveConfiguration(ConfigurationReader reader, ConfigurationMetrics metrics, Clock clock) {
         this.reader = reader;
@@ -62,7 +61,6 @@
         long startNanos = clock.nanos();
         long waitedNanos = startNanos - document.arrivedNanos();
         Configuration offered;
-        VersionSteps steps;
         try {
             byte[] bytes = document.bytes();
             if (reader.number(bytes) <= number()) {
@@ -70,7 +68,6 @@
                 return true;
             }
             offered = reader.read(bytes);
-            steps = stepsTo(offered.number(), document, loaded.get());
         } catch (InvalidTablesException | SidecarException e) {
             logRejected(document, e.getMessage());
             metrics.read("rejected", waitedNanos, clock.nanos() - startNanos);
@@ -82,11 +79,9 @@
             return true;
         }
         metrics.read("activated", waitedNanos, readNanos);
-        if (document.fromStore()) {
-            // Other nodes ask for this form on the event loop, which must not wait for it.
-            document.compressed();
-        }
-        loaded.set(new Loaded(offered, document, steps));
+        // Other nodes ask for this form on the event loop, which must not wait for it.
+        document.compressed();
+        loaded.set(new Loaded(offered, document));
         changeListener.run();
         log.info(
                 "activated configuration version={} routes={} from={} waited_ms={} read_ms={}",
@@ -98,23 +93,6 @@
         return true;
     }
 
-    private static VersionSteps stepsTo(
-            long number, ConfigurationDocument document, @Nullable Loaded current)
-            throws SidecarException {
-        if (current == null) {
-            return VersionSteps.NONE;
-        }
-        long from = current.configuration().number();
-        return document.steps().from() == from
-                ? current.steps().with(document.steps())
-                : current.steps()
-                        .with(
-                                from,
-                                number,
-                                DocumentDelta.between(
-                                        current.document().bytes(), document.bytes()));
-    }
-
     private static void logRejected(ConfigurationDocument document, @Nullable String problems) {
         log.warn(
                 "rejected invalid configuration from={} problems=\"{}\"",
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -32,12 +32,6 @@
     static final String CONFIGURATION_PATH = "/peer/configuration";
     static final String SERVERS_PATH = "/peer/servers";
 
-    /** Before the number of the version that the asking node has. */
-    private static final String BASE_QUERY = "?base=";
-
-    /** Response header that tells steps between versions from a whole document. */
-    private static final String STEPS_HEADER = "Zinniaring-Steps";
-
     private static final Logger log = LoggerFactory.getLogger("peers");
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
@@ -81,10 +75,6 @@
     private boolean behindOtherZone;
     private long behindSinceNanos;
     private boolean pullingConfiguration;
-
-    /** Whether steps between versions could not be applied, so that the next pull asks for none. */
-    private boolean pullWhole;
-
     private boolean pullingServers;
     private final GossipRounds rounds = new GossipRounds();
 
@@ -270,30 +260,12 @@
         }
     }
 
-    /** Answers with the steps from the version that the other node has, or the whole document. */
     private void handleConfiguration(Exchange exchange) {
         ActiveConfiguration.Loaded loaded = activeConfiguration.loaded();
-        if (loaded == null) {
-            exchange.answer(Answer.of(NOT_FOUND));
-            return;
-        }
-        VersionSteps steps = loaded.steps().after(baseOf(exchange.target()));
-        Answer answer =
-                Answer.bytes(OK, steps == null ? loaded.document().compressed() : steps.encode());
-        if (steps != null) {
-            answer.headers().set(STEPS_HEADER, "1");
-        }
-        exchange.answer(answer);
-    }
-
-    private static long baseOf(String target) {
-        int base = target.indexOf(BASE_QUERY);
-        try {
-            return base < 0 ? -1 : Long.parseLong(target.substring(base + BASE_QUERY.length()));
-        } catch (NumberFormatException e) {
-            // The whole document is right for any version that the other node may have.
-            return -1;
-        }
+        exchange.answer(
+                loaded == null
+                        ? Answer.of(NOT_FOUND)
+                        : Answer.bytes(OK, loaded.document().compressed()));
     }
 
     private void reconcile(Digest theirs, String address, boolean sameZone) {
@@ -347,42 +319,25 @@
             return;
         }
         pullingConfiguration = true;
-        ActiveConfiguration.Loaded base = pullWhole ? null : activeConfiguration.loaded();
-        String query = base == null ? "" : BASE_QUERY + base.configuration().number();
         client.request(
                 "GET",
-                CONFIGURATION_PATH + query,
+                CONFIGURATION_PATH,
                 address,
                 new byte[0],
                 BODY_TIMEOUT_MILLIS,
                 answer -> {
                     if (answer == null) {
                         pullingConfiguration = false;
-                    } else {
-                        addPulled(answer, base, "peer " + address);
+                        return;
                     }
+                    // The next one is pulled when this one has been read, and is the newest then.
+                    inbox.add(
+                            ConfigurationDocument.compressed(
+                                    answer.body(), "peer " + address, clock.nanos()),
+                            () -> loop.execute(() -> pullingConfiguration = false));
                 });
     }
 
-    private void addPulled(
-            Answer answer, ActiveConfiguration.@Nullable Loaded base, String source) {
-        long arrivedNanos = clock.nanos();
-        ConfigurationDocument earlier = base == null ? null : base.document();
-        ConfigurationDocument document =
-                earlier != null && answer.headers().contains(STEPS_HEADER)
-                        ? ConfigurationDocument.steps(answer.body(), earlier, source, arrivedNanos)
-                        : ConfigurationDocument.compressed(answer.body(), source, arrivedNanos);
-        // The next one is pulled when this one has been read, and is the newest then.
-        inbox.add(
-                document,
-                () ->
-                        loop.execute(
-                                () -> {
-                                    pullingConfiguration = false;
-                                    pullWhole = !document.made();
-                                }));
-    }
-
     private void pullServers(String address) {
         if (pullingServers) {
             return;
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -372,9 +372,7 @@
         freshness.recordConfirmation(0);
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(configurationSource.configurationKey()) && !row.deleted()) {
-                inbox.add(
-                        ConfigurationDocument.plain(
-                                row.value(), ConfigurationDocument.STORE, clock.nanos()));
+                inbox.add(ConfigurationDocument.plain(row.value(), "store", clock.nanos()));
             }
         }
     }
