Report the end of a configuration document also if its reader fails

Found by reading the diff: an unexpected failure of the reader left a node waiting for the end of that document, so that it pulled no further version from its peers (CONFIG) until its own watch of the store began. The test failed before (no end reported).

--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ConfigurationInbox.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ConfigurationInbox.java
@@ -61,12 +61,16 @@
             taken = List.copyOf(waiting);
             waiting.clear();
         }
-        Map<ConfigurationDocument, Long> numbers = new LinkedHashMap<>();
-        for (Waiting each : taken) {
-            numbers.put(each.document(), activeConfiguration.number(each.document()));
+        try {
+            Map<ConfigurationDocument, Long> numbers = new LinkedHashMap<>();
+            for (Waiting each : taken) {
+                numbers.put(each.document(), activeConfiguration.number(each.document()));
+            }
+            newestFirst(numbers).forEach(activeConfiguration::offer);
+        } finally {
+            // A node that waits for this pulls no further version.
+            taken.forEach(each -> each.onRead().run());
         }
-        newestFirst(numbers).forEach(activeConfiguration::offer);
-        taken.forEach(each -> each.onRead().run());
     }
 
     private static Collection<ConfigurationDocument> newestFirst(
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/ConfigurationInboxTest.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/ConfigurationInboxTest.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.sidecar;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import dev.zinniaring.calls.ClientLimits;
 import dev.zinniaring.calls.Configuration;
@@ -123,4 +124,17 @@
         runTasks();
         assertThat(active.number()).isEqualTo(4);
     }
+
+    /** A node would otherwise pull no version after one at which its reader failed. */
+    @Test
+    void theEndOfADocumentIsReportedAlsoIfItsReaderFails() {
+        List<String> ended = new ArrayList<>();
+        byte[] noNumber = "x".getBytes(StandardCharsets.UTF_8);
+        inbox.add(ConfigurationDocument.plain(noNumber, "store", 0), () -> ended.add("reported"));
+        assertThatThrownBy(this::runTasks).isInstanceOf(NumberFormatException.class);
+        assertThat(ended).containsExactly("reported");
+        fromPeer(4);
+        runTasks();
+        assertThat(active.number()).isEqualTo(4);
+    }
 }
