--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -256,7 +256,7 @@
             while (!closing && sendNext()) {
                 sent = true;
             }
-            if (!closing && pipeline.mayStart()) {
+            if (!closing && writable() && pipeline.mayStart()) {
                 queueStart();
             }
             if (continueExpected && pipeline.isEmpty() && !closing) {
--- a/calls/src/test/java/dev/zinniaring/calls/DisconnectTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/DisconnectTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -324,4 +325,27 @@
             }
         }
     }
+
+    /** Requests behind answers that a client does not read must not keep the event loop busy. */
+    @Test
+    void requestsThatMayNotStartYetAreNotTriedAgainAndAgain() throws Exception {
+        AtomicInteger tries = new AtomicInteger();
+        HttpListener busy =
+                new HttpListener(
+                        group,
+                        Clock.system(),
+                        () -> ClientLimits.DEFAULT,
+                        new QueuedHandler(
+                                exchange -> exchange.answer(Answer.bytes(200, new byte[8 << 20]))));
+        busy.onStart(waitedNanos -> tries.incrementAndGet());
+        busy.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        try (Socket socket = open(busy.address().getPort())) {
+            for (int i = 0; i < 4; i++) {
+                get(socket, "/long", "long-" + i);
+                TimeUnit.MILLISECONDS.sleep(100);
+            }
+            TimeUnit.MILLISECONDS.sleep(500);
+            assertThat(tries.get()).isBetween(1, 30);
+        }
+    }
 }
