--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -88,7 +88,7 @@
             failIfNoneRunning();
             return;
         }
-        timer = calls.loop().schedule(this::timedOut, Math.max(0, leftNanos), TimeUnit.NANOSECONDS);
+        timer = calls.loop().schedule(this::timedOut, leftNanos, TimeUnit.NANOSECONDS);
         exchange.onCancel(this::cancelled);
         tryNextServer();
     }
