Serve client accounts, quotas and roll-outs on the users' path

Each part works only if the configuration declares accounts or the settings name a bound.

AccountGate replaces the key by the name of its account, whatever the client sent, and refuses: 401 for an unknown key, 429 beyond the quota, 503 while the node cannot know that keys still hold. Digests carry how recent a node's keys are, so that a node that has lost the store goes on by what its peers know. One node leads by a row of the store that expires by the store's clock (Leadership); all nodes report to it twice a second and get its decisions (Coordination). It records the states of roll-outs in the store, from which the next leader goes on (RolloutLog). Records and announcements tell the version of a server; older builds that do not are understood.

--- a/calls/src/main/java/dev/zinniaring/calls/Configuration.java
+++ b/calls/src/main/java/dev/zinniaring/calls/Configuration.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.accounts.AccountTable;
 import dev.zinniaring.model.Pool;
 import dev.zinniaring.model.Rank;
 import dev.zinniaring.model.Route;
@@ -16,6 +17,7 @@
     private final Map<String, ServerSettings> servers;
     private final ClientLimits limits;
     private final RouteTable routes;
+    private final AccountTable accounts;
 
     /**
      * Compiles a configuration.
@@ -28,7 +30,7 @@
      */
     public Configuration(
             long number, Tables tables, Map<String, ServerSettings> servers, ClientLimits limits) {
-        this(number, compile(tables), servers, limits);
+        this(number, compile(tables), servers, limits, AccountTable.EMPTY);
     }
 
     /**
@@ -37,16 +39,19 @@
      * @param number version number; a higher version replaces a lower one
      * @param servers backend server settings by service name
      * @param limits limits for requests from clients
+     * @param accounts client accounts
      */
     public Configuration(
             long number,
             RouteTable routes,
             Map<String, ServerSettings> servers,
-            ClientLimits limits) {
+            ClientLimits limits,
+            AccountTable accounts) {
         this.number = number;
         this.routes = routes;
         this.servers = Map.copyOf(servers);
         this.limits = limits;
+        this.accounts = accounts;
     }
 
     private static RouteTable compile(Tables tables) {
@@ -91,6 +96,11 @@
         return limits;
     }
 
+    /** Returns the client accounts. */
+    public AccountTable accounts() {
+        return accounts;
+    }
+
     /** Returns the compiled routes. */
     public RouteTable routes() {
         return routes;
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.accounts.Account;
 import dev.zinniaring.admission.CrashGuard;
 import dev.zinniaring.admission.Suspect;
 import dev.zinniaring.kernel.Clock;
@@ -33,11 +34,16 @@
      */
     private static final int MAX_FAILED_PROBES = 2;
 
+    /** Multiple of a route's mean time above which an answer speaks against a new version. */
+    private static final double SLOW_FACTOR = 4;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final EntryCalls calls;
     private final Exchange exchange;
     private final CallRoute route;
+    private final @Nullable Account account;
+    private final int rankOrder;
     private final long version;
     private final Clock clock;
     private final String service;
@@ -58,10 +64,23 @@
 
     private String lastReason = "no-server";
 
-    EntryCall(EntryCalls calls, Exchange exchange, CallRoute route, long version) {
+    /**
+     * Creates a call.
+     *
+     * @param account account that makes the call, null if none is needed
+     * @param version version of the configuration that the route is from
+     */
+    EntryCall(
+            EntryCalls calls,
+            Exchange exchange,
+            CallRoute route,
+            @Nullable Account account,
+            long version) {
         this.calls = calls;
         this.exchange = exchange;
         this.route = route;
+        this.account = account;
+        this.rankOrder = account == null ? route.rankOrder() : account.rankOrder(route.rankOrder());
         this.version = version;
         this.clock = calls.clock();
         this.service = route.serviceSelector().next();
@@ -77,6 +96,9 @@
         HopHeaders.removeConnectionOptions(headers, calls.names()::endToEnd);
         headers.set(calls.names().callerService(), calls.settings().service());
         headers.remove(calls.names().expectedServer());
+        if (account != null) {
+            headers.set(calls.names().account(), account.name());
+        }
         this.fingerprint = CallFingerprint.of(exchange, calls.names());
     }
 
@@ -110,7 +132,7 @@
         }
         EndpointRecord chosen = selectServer();
         if (chosen == null) {
-            if (placements == 0 && !calls.servers().of(service).isEmpty()) {
+            if (placements == 0 && !servers().isEmpty()) {
                 lastReason = "back-off";
             }
             failIfNoneRunning();
@@ -139,7 +161,12 @@
     private @Nullable EndpointRecord selectServer() {
         return placements >= MAX_PLACEMENTS
                 ? null
-                : calls.balancer().select(calls.servers().of(service), tried, route, targetNanos);
+                : calls.balancer().select(servers(), tried, route, targetNanos);
+    }
+
+    /** Returns the servers that the call may use; only a first placement tries a new version. */
+    private List<EndpointRecord> servers() {
+        return calls.versions().candidates(service, calls.servers().of(service), placements == 0);
     }
 
     private void onResult(OwnerResult result) {
@@ -256,6 +283,7 @@
             finish(refusal(BAD_GATEWAY), "failed");
             return;
         }
+        calls.accounts().giveBack(account, route);
         calls.counters().increment("refused");
         calls.counters().increment("refused_" + lastReason.replace('-', '_'));
         log("refused", lastReason);
@@ -279,7 +307,7 @@
                 (targetNanos - nowNanos) / 1e6,
                 (deadlineNanos - nowNanos) / 1e6,
                 calls.balancer().meanNanos(route) / 1e6,
-                calls.balancer().backOffNanos(calls.servers().of(service), route) / 1e6,
+                calls.balancer().backOffNanos(servers(), route) / 1e6,
                 calls.random());
     }
 
@@ -293,6 +321,9 @@
             return;
         }
         boolean sent = !running.isEmpty() || mayHaveRun;
+        if (!sent) {
+            calls.accounts().giveBack(account, route);
+        }
         calls.counters().increment("timed_out");
         log("timed-out", lastReason);
         finish(refusal(sent ? GATEWAY_TIMEOUT : SERVICE_UNAVAILABLE), "timed-out");
@@ -319,8 +350,7 @@
     private void finish(Answer answer, String outcome) {
         stopTimer();
         cancelRunning();
-        calls.counters()
-                .answered(route.rankOrder(), outcome, clock.nanos() - exchange.arrivedNanos());
+        calls.counters().answered(rankOrder, outcome, clock.nanos() - exchange.arrivedNanos());
         exchange.answer(answer);
     }
 
@@ -353,7 +383,9 @@
                         "placements",
                         placements,
                         "rank",
-                        route.rankOrder(),
+                        rankOrder,
+                        "account",
+                        account == null ? "none" : account.name(),
                         "target_ms",
                         route.targetMillis(),
                         "version",
@@ -378,7 +410,7 @@
                             callId,
                             route.route().name(),
                             route.targetMillis(),
-                            route.rankOrder(),
+                            rankOrder,
                             serverDeadlineNanos,
                             targetNanos,
                             this::ended);
@@ -400,6 +432,9 @@
         private void ended(OwnerResult result) {
             running.remove(this);
             calls.balancer().callEnded(server, route, clock.nanos() - sentNanos, result);
+            if (result.outcome() != OwnerResult.Outcome.NOT_RUN) {
+                recordVersionOutcome(failed(result));
+            }
             Suspect suspect = result.suspect();
             if (suspect != null) {
                 calls.guard().merge(List.of(suspect));
@@ -428,7 +463,22 @@
             }
         }
 
+        private boolean failed(OwnerResult result) {
+            Answer answer = result.answer();
+            return answer == null || answer.status() >= SERVER_ERROR;
+        }
+
+        private void recordVersionOutcome(boolean failed) {
+            double slowNanos = SLOW_FACTOR * calls.balancer().meanNanos(route);
+            boolean slow = clock.nanos() - sentNanos > slowNanos;
+            calls.versionShares()
+                    .ran(service, server.version(), route.route().name(), failed || slow);
+        }
+
         void cancel() {
+            if (clock.nanos() - sentNanos > SLOW_FACTOR * calls.balancer().meanNanos(route)) {
+                recordVersionOutcome(true);
+            }
             running.remove(this);
             calls.balancer().callEnded(server, route, 0, null);
             job.cancel();
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -1,9 +1,13 @@
 package dev.zinniaring.calls;
 
+import dev.zinniaring.accounts.KeyFreshness;
+import dev.zinniaring.accounts.QuotaShares;
 import dev.zinniaring.admission.CrashGuard;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.model.EndpointRecord;
+import dev.zinniaring.rollout.VersionShares;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -34,6 +38,9 @@
     private final RetryBudgetShare budget;
     private final CallLog log;
     private final StopAdmission stop;
+    private final AccountGate accounts;
+    private final VersionShares versionShares;
+    private final VersionFilter versions;
     private long clientsSwitchedNanos;
     private boolean leaving;
 
@@ -59,6 +66,21 @@
                         () -> servers.get().nodes());
         log = new CallLog(clock, counters);
         stop = new StopAdmission(clock);
+        accounts =
+                new AccountGate(
+                        names,
+                        builder.keyFreshness == null
+                                ? new KeyFreshness(clock)
+                                : builder.keyFreshness,
+                        builder.revocationBound,
+                        builder.quotas == null
+                                ? new QuotaShares(clock, random, () -> servers.get().nodes())
+                                : builder.quotas);
+        versionShares =
+                builder.versionShares == null
+                        ? new VersionShares(clock, random, false)
+                        : builder.versionShares;
+        versions = new VersionFilter(versionShares);
     }
 
     private boolean unreachable(EndpointRecord server) {
@@ -91,7 +113,14 @@
             exchange.answer(Answer.of(NOT_FOUND));
             return;
         }
-        new EntryCall(this, exchange, route, configuration.number()).start();
+        AccountGate.Verdict verdict =
+                accounts.check(configuration.accounts(), route, exchange.headers());
+        AccountGate.Refusal refusal = verdict.refusal();
+        if (refusal != null) {
+            refuse(exchange, refusal);
+            return;
+        }
+        new EntryCall(this, exchange, route, verdict.account(), configuration.number()).start();
     }
 
     @Override
@@ -113,11 +142,19 @@
     }
 
     private void refuse(Exchange exchange, String reason, String retrySeconds) {
+        refuse(exchange, new AccountGate.Refusal(SERVICE_UNAVAILABLE, reason, retrySeconds));
+    }
+
+    private void refuse(Exchange exchange, AccountGate.Refusal refused) {
+        String reason = refused.reason();
         counters.increment("refused_" + reason.replace('-', '_'));
         log.logDecision(
                 "refused", exchange.headers().get(names.callId(), ""), "", "reason", reason);
-        Answer refusal = Answer.of(SERVICE_UNAVAILABLE);
-        refusal.headers().set("Retry-After", retrySeconds);
+        Answer refusal = Answer.of(refused.status());
+        String retrySeconds = refused.retrySeconds();
+        if (retrySeconds != null) {
+            refusal.headers().set("Retry-After", retrySeconds);
+        }
         refusal.headers().set(HopHeaders.REASON, reason);
         exchange.answer(refusal);
     }
@@ -201,6 +238,18 @@
         return balancer;
     }
 
+    AccountGate accounts() {
+        return accounts;
+    }
+
+    VersionFilter versions() {
+        return versions;
+    }
+
+    VersionShares versionShares() {
+        return versionShares;
+    }
+
     RetryBudgetShare budget() {
         return budget;
     }
@@ -226,6 +275,10 @@
         private CallCounters counters = new CallCounters();
         private Supplier<@Nullable Configuration> configurations = () -> null;
         private Supplier<ServerList> servers = () -> ServerList.EMPTY;
+        private @Nullable KeyFreshness keyFreshness;
+        private @Nullable Duration revocationBound;
+        private @Nullable QuotaShares quotas;
+        private @Nullable VersionShares versionShares;
 
         private Builder(EntrySettings settings) {
             this.settings = settings;
@@ -285,6 +338,28 @@
             return this;
         }
 
+        /**
+         * Sets what is known of how recent the configuration is, and the time within which a key
+         * that is taken away has to be refused; null if that is not bounded for every node.
+         */
+        public Builder keys(KeyFreshness freshness, @Nullable Duration bound) {
+            keyFreshness = freshness;
+            revocationBound = bound;
+            return this;
+        }
+
+        /** Sets the decisions about the quotas of accounts. */
+        public Builder quotas(QuotaShares value) {
+            quotas = value;
+            return this;
+        }
+
+        /** Sets the decisions about versions of servers. */
+        public Builder versionShares(VersionShares value) {
+            versionShares = value;
+            return this;
+        }
+
         /**
          * Builds the call handler.
          *
--- a/calls/src/main/java/dev/zinniaring/calls/HeaderNames.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param serverLimit header in which a backend server names the requests per second that it accepts
  *     from all nodes together, as a decimal number
  * @param serverLeaving header with the value 1 in the answers of a backend server that is leaving
+ * @param accountKey header with the key of a client account; never passed on
+ * @param account header for the name of the client account that holds the key
  */
 public record HeaderNames(
         String callId,
@@ -24,7 +26,9 @@
         String notExecuted,
         String callerService,
         String serverLimit,
-        String serverLeaving) {
+        String serverLeaving,
+        String accountKey,
+        String account) {
 
     /** Returns whether a header that a client sends always reaches the server, maybe rewritten. */
     boolean endToEnd(String name) {
@@ -57,6 +61,8 @@
         private String callerService = "Zinniaring-Caller";
         private String serverLimit = "Zinniaring-Server-Limit";
         private String serverLeaving = "Zinniaring-Server-Leaving";
+        private String accountKey = "Zinniaring-Account-Key";
+        private String account = "Zinniaring-Account";
 
         private Builder() {}
 
@@ -114,6 +120,18 @@
             return this;
         }
 
+        /** Sets the name of the header with the key of a client account. */
+        public Builder accountKey(String name) {
+            accountKey = name;
+            return this;
+        }
+
+        /** Sets the name of the header for the name of a client account. */
+        public Builder account(String name) {
+            account = name;
+            return this;
+        }
+
         /** Builds the header names. */
         public HeaderNames build() {
             return new HeaderNames(
@@ -125,7 +143,9 @@
                     notExecuted,
                     callerService,
                     serverLimit,
-                    serverLeaving);
+                    serverLeaving,
+                    accountKey,
+                    account);
         }
     }
 }
--- a/model/src/main/java/dev/zinniaring/model/EndpointRecord.java
+++ b/model/src/main/java/dev/zinniaring/model/EndpointRecord.java
@@ -17,6 +17,7 @@
  * @param state whether the backend server accepts calls
  * @param warmUpMillis time from the backend server's start until it can take its full share of
  *     calls, in milliseconds
+ * @param version version of the backend server's software, empty if unknown
  */
 public record EndpointRecord(
         String serverId,
@@ -29,7 +30,36 @@
         int slots,
         int connections,
         EndpointState state,
-        int warmUpMillis) {
+        int warmUpMillis,
+        String version) {
+
+    /** Creates the record of a backend server whose version is unknown. */
+    public EndpointRecord(
+            String serverId,
+            String service,
+            String nodeId,
+            String zone,
+            String callAddress,
+            long incarnation,
+            long sequence,
+            int slots,
+            int connections,
+            EndpointState state,
+            int warmUpMillis) {
+        this(
+                serverId,
+                service,
+                nodeId,
+                zone,
+                callAddress,
+                incarnation,
+                sequence,
+                slots,
+                connections,
+                state,
+                warmUpMillis,
+                "");
+    }
 
     /** Returns whether this record replaces {@code other}, a record of the same server. */
     public boolean newerThan(EndpointRecord other) {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Announcement.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Announcement.java
@@ -15,6 +15,7 @@
  * @param slots number of requests that it processes concurrently
  * @param leaving whether it is shutting down
  * @param coldMillis remaining warm-up time, in milliseconds; 0 once it is warm
+ * @param version version of its software, empty if unknown
  */
 public record Announcement(
         String serverId,
@@ -24,4 +25,18 @@
         InetSocketAddress address,
         int slots,
         boolean leaving,
-        long coldMillis) {}
+        long coldMillis,
+        String version) {
+    /** Creates the announcement of a backend server that does not tell its version. */
+    public Announcement(
+            String serverId,
+            long bornMillis,
+            long sequence,
+            String service,
+            InetSocketAddress address,
+            int slots,
+            boolean leaving,
+            long coldMillis) {
+        this(serverId, bornMillis, sequence, service, address, slots, leaving, coldMillis, "");
+    }
+}
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/CallPath.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/CallPath.java
@@ -51,6 +51,7 @@
         private Supplier<@Nullable LocalServer> localServer = () -> null;
         private Supplier<@Nullable Configuration> configurations = () -> null;
         private Supplier<ServerList> servers = () -> ServerList.EMPTY;
+        private @Nullable Coordination control;
 
         private Builder(SidecarSettings settings) {
             this.settings = settings;
@@ -110,10 +111,16 @@
             return this;
         }
 
+        /** Sets what the nodes agree on beyond the configuration. */
+        Builder control(Coordination value) {
+            control = value;
+            return this;
+        }
+
         /**
          * Builds the call path.
          *
-         * @throws NullPointerException if the event loop or the client is not set
+         * @throws NullPointerException if the event loop, the client or the control is not set
          */
         CallPath build() {
             PooledHttpClient http = Objects.requireNonNull(client, "client");
@@ -135,6 +142,7 @@
                             settings.retryRatio(),
                             settings.retryAllowance(),
                             settings.retryWindow());
+            Coordination agreed = Objects.requireNonNull(control, "control");
             EntryCalls entry =
                     EntryCalls.builder(entrySettings)
                             .names(names)
@@ -146,6 +154,9 @@
                             .counters(counters)
                             .configurations(configurations)
                             .servers(servers)
+                            .keys(agreed.keys(), settings.control().keyRevocation())
+                            .quotas(agreed.quotas())
+                            .versionShares(agreed.versions())
                             .build();
             return new CallPath(guard, owner, peers, entry);
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/LocalRecordPublisher.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/LocalRecordPublisher.java
@@ -167,7 +167,8 @@
                 announcement == null ? 1 : announcement.slots(),
                 serverSettings.get().maxConnections(),
                 state(announcement),
-                announcement == null ? 0 : (int) announcement.coldMillis());
+                announcement == null ? 0 : (int) announcement.coldMillis(),
+                announcement == null ? "" : announcement.version());
     }
 
     private EndpointState state(@Nullable Announcement announcement) {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/LocalServerTracker.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/LocalServerTracker.java
@@ -157,7 +157,8 @@
                 known.address(),
                 known.slots(),
                 true,
-                known.coldMillis());
+                known.coldMillis(),
+                known.version());
     }
 
     /**
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/PeerGossip.java
@@ -3,6 +3,7 @@
 import dev.zinniaring.calls.Answer;
 import dev.zinniaring.calls.Exchange;
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.ClockReading;
 import dev.zinniaring.model.EndpointRecord;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -72,6 +73,7 @@
     private final Map<String, Long> failedNanos = new HashMap<>();
     private LongConsumer eraListener = era -> {};
     private Consumer<List<EndpointRecord>> recordListener = records -> {};
+    private ControlListener controlListener = (control, sameVersion, asked) -> {};
     private boolean behindOtherZone;
     private long behindSinceNanos;
     private boolean pullingConfiguration;
@@ -130,6 +132,23 @@
         eraListener = action;
     }
 
+    /** Receives what peers answer about keys and the leader. */
+    @FunctionalInterface
+    interface ControlListener {
+        /**
+         * Called for each answer of a peer.
+         *
+         * @param sameVersion whether the peer has this node's configuration
+         * @param asked moment at which it was asked
+         */
+        void heard(ControlDigest control, boolean sameVersion, ClockReading asked);
+    }
+
+    /** Sets the listener for what peers answer about keys and the leader. */
+    void onControl(ControlListener listener) {
+        controlListener = listener;
+    }
+
     /** Sets the action that receives the records in each server list of a peer. */
     void onRecords(Consumer<List<EndpointRecord>> action) {
         recordListener = action;
@@ -206,16 +225,17 @@
     }
 
     private void exchangeDigests(String address) {
+        ClockReading asked = ClockReading.of(clock);
         client.request(
                 "POST",
                 DIGEST_PATH,
                 address,
                 digests.get().encode(),
                 PeerClient.TIMEOUT_MILLIS,
-                answer -> onDigestAnswer(answer, address));
+                answer -> onDigestAnswer(answer, address, asked));
     }
 
-    private void onDigestAnswer(@Nullable Answer answer, String address) {
+    private void onDigestAnswer(@Nullable Answer answer, String address, ClockReading asked) {
         EndpointRecord reader = reader();
         boolean ofReader = reader != null && reader.callAddress().equals(address);
         if (answer == null) {
@@ -229,6 +249,8 @@
             if (ofReader) {
                 readerSilent = theirs.ageMillis() > BLIND_READER_MILLIS;
             }
+            boolean sameVersion = theirs.version() == activeConfiguration.number();
+            controlListener.heard(theirs.control(), sameVersion, asked);
             reconcile(theirs, address, true);
         } catch (SidecarException e) {
             log.warn("rejected malformed digest from={} cause=\"{}\"", address, e.getMessage());
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/RecordCodec.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/RecordCodec.java
@@ -14,7 +14,11 @@
 
 /** Encodes endpoint records as MessagePack arrays, for rows of the store and for peers. */
 final class RecordCodec {
-    private static final int FIELDS = 11;
+    private static final int FIELDS = 12;
+
+    /** Records of builds that do not know versions of servers end before the version. */
+    private static final int FIELDS_WITHOUT_VERSION = 11;
+
     private static final int MAX_RECORDS = 100_000;
     private static final int MAX_NAME_BYTES = 200;
     private static final int MAX_SLOTS = 100_000;
@@ -54,6 +58,7 @@
             packer.packInt(record.connections());
             packer.packString(record.state().name());
             packer.packInt(record.warmUpMillis());
+            packer.packString(record.version());
         }
     }
 
@@ -100,11 +105,11 @@
         List<EndpointRecord> records = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             int fields = unpacker.unpackArrayHeader();
-            if (fields < FIELDS) {
+            if (fields < FIELDS_WITHOUT_VERSION) {
                 throw new IllegalArgumentException(
                         "endpoint record with only " + fields + " fields");
             }
-            records.add(unpackRecord(unpacker));
+            records.add(unpackRecord(unpacker, fields));
             // Newer builds may append fields.
             for (int extra = FIELDS; extra < fields; extra++) {
                 unpacker.skipValue();
@@ -113,7 +118,8 @@
         return records;
     }
 
-    private static EndpointRecord unpackRecord(MessageUnpacker unpacker) throws IOException {
+    private static EndpointRecord unpackRecord(MessageUnpacker unpacker, int fields)
+            throws IOException {
         EndpointRecord record =
                 new EndpointRecord(
                         name(unpacker),
@@ -126,7 +132,8 @@
                         (int) number(unpacker, 1, MAX_SLOTS),
                         (int) number(unpacker, 1, Integer.MAX_VALUE),
                         EndpointState.valueOf(name(unpacker)),
-                        (int) number(unpacker, 0, Integer.MAX_VALUE));
+                        (int) number(unpacker, 0, Integer.MAX_VALUE),
+                        fields < FIELDS ? "" : name(unpacker));
         boolean named =
                 !record.service().isEmpty()
                         && !record.nodeId().isEmpty()
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -2,6 +2,7 @@
 
 import dev.zinniaring.calls.Addresses;
 import dev.zinniaring.calls.CallCounters;
+import dev.zinniaring.calls.Exchange;
 import dev.zinniaring.calls.HeaderNames;
 import dev.zinniaring.calls.HttpListener;
 import dev.zinniaring.calls.LoopMetrics;
@@ -18,6 +19,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -76,6 +78,7 @@
     private final ActiveConfiguration activeConfiguration;
     private final LocalServerTracker serverTracker;
     private final ServerDirectory directory = new ServerDirectory();
+    private final Coordination control;
     private final CallPath calls;
     private final PeerCalls peerCalls;
     private final HttpListener callListener;
@@ -91,6 +94,8 @@
     private final ConfigurationInbox inbox;
     private final LocalRecordPublisher localRecord;
     private final NodesTable nodesTable;
+    private final BackendServerEvents server;
+    private final KeyConfirmations keyConfirmations;
     private final LoopLag loopLag;
     private boolean nodesListed;
     private long sweeps;
@@ -128,6 +133,8 @@
         this.activeConfiguration = activeConfiguration(registry);
         this.inbox = new ConfigurationInbox(activeConfiguration, parseExecutor);
         this.serverTracker = serverTracker();
+        PeerClient peerClient = new PeerClient(client);
+        this.control = coordination(peerClient);
         this.calls =
                 CallPath.builder(settings)
                         .names(names)
@@ -139,6 +146,7 @@
                         .localServer(serverTracker::local)
                         .configurations(activeConfiguration::get)
                         .servers(directory::servers)
+                        .control(control)
                         .build();
         this.peerCalls = new PeerCalls(calls.owner(), names);
         this.callListener = callListener(loopMetrics);
@@ -154,7 +162,6 @@
         this.freshness = new Freshness(clock);
         this.writer =
                 new RecordWriter(store, NodesTable.NAME, settings.nodeId(), scheduler, random);
-        PeerClient peerClient = new PeerClient(client);
         this.suspects = suspectGossip(peerClient);
         this.gossip = peerGossip(peerClient);
         configurationWatcher.onFailure(gossip::push);
@@ -170,6 +177,44 @@
                         shutdown::started,
                         this::publishRecord);
         this.nodesTable = nodesTable();
+        this.server = serverEvents();
+        this.keyConfirmations = new KeyConfirmations(control.keys(), inbox, scheduler::execute);
+    }
+
+    private BackendServerEvents serverEvents() {
+        return new BackendServerEvents(
+                serverTracker,
+                calls.owner(),
+                localRecord,
+                probe,
+                this::serverSettings,
+                () -> !shutdown.started() && activeConfiguration.get() != null,
+                scheduler::execute,
+                counters);
+    }
+
+    private Coordination coordination(PeerClient peerClient) {
+        return new Coordination(
+                settings,
+                store,
+                configurationSource.rollouts(),
+                peerClient,
+                clock,
+                scheduler,
+                random,
+                counters,
+                activeConfiguration::get,
+                () -> directory.servers().nodes(),
+                () -> nodesListed && !shuttingDown() && isReader(),
+                peerAddress());
+    }
+
+    private boolean shuttingDown() {
+        return shutdown.started();
+    }
+
+    private boolean isReader() {
+        return gossip.isReader();
     }
 
     private LocalServerTracker serverTracker() {
@@ -233,7 +278,15 @@
     private HttpListener peerListener() {
         return callListener.sibling(
                 () -> activeConfiguration.limits().forPeers(),
-                new PeerRequests(peerCalls, exchange -> gossip.handle(exchange)));
+                new PeerRequests(peerCalls, this::handlePeerRequest));
+    }
+
+    private void handlePeerRequest(Exchange exchange) {
+        if (exchange.path().equals(Coordination.PATH)) {
+            control.handle(exchange);
+        } else {
+            gossip.handle(exchange);
+        }
     }
 
     private TableWatcher watcher(
@@ -261,15 +314,17 @@
     public void start() throws KernelException {
         startNanos = clock.nanos();
         followStoreEra();
+        gossip.onControl(control::heard);
         gossip.onRecords(records -> onRestored(localRecord.restore(records)));
-        calls.owner().onMisdirected(this::onServerMisdirected);
-        calls.owner().onLeaving(this::onServerLeaving);
+        calls.owner().onMisdirected(server::misdirected);
+        calls.owner().onLeaving(server::saidLeaving);
         calls.owner().onSuspects(suspects::pushNews);
         callListener.start(settings.calls());
         peerListener.start(settings.peerCalls());
         scheduler.execute(this::updateStoreWatch);
         scheduler.every(SWEEP_PERIOD, this::sweep);
         scheduler.every(GOSSIP_PERIOD, gossip::tick);
+        control.start();
         log.info(
                 "started node={} zone={} service={} server={}",
                 settings.nodeId(),
@@ -321,7 +376,7 @@
         boolean stale = freshness.ageMillis() > STALE_MILLIS;
         boolean reads =
                 stale || gossip.isReader() || activeConfiguration.get() == null || !nodesListed;
-        configurationWatcher.run(reads || gossip.readerSilent());
+        configurationWatcher.run(reads || gossip.readerSilent() || control.leading());
         nodesWatcher.run(reads);
     }
 
@@ -329,52 +384,22 @@
         return configurationWatcher.failing();
     }
 
-    private void onServerMisdirected() {
-        log.warn("different backend server answered at address={}", settings.server());
-        serverTracker.forget();
-        probe.reset();
-        scheduler.execute(this::probeServer);
-    }
-
-    private void onServerLeaving(String serverId) {
-        Announcement known = serverTracker.latest();
-        if (known != null && known.serverId().equals(serverId)) {
-            applyChange(serverTracker.handleDeregistration(serverId, Optional.empty()), serverId);
-        }
-    }
-
     private void onConfigurationChanged() {
         gossip.push();
-        probeServer();
-    }
-
-    /** Sends a health check to the backend server if it has not announced itself yet. */
-    private void probeServer() {
-        if (serverTracker.latest() != null
-                || shutdown.started()
-                || activeConfiguration.get() == null) {
-            return;
-        }
-        probe.check(
-                serverSettings().healthPath(),
-                identified -> {
-                    if (serverTracker.setProbed(identified.serverId(), identified.slots())) {
-                        log.info(
-                                "identified backend server by health check server={}",
-                                identified.serverId());
-                        localRecord.publish();
-                    }
-                    calls.owner().serverAnswered(identified.serverId(), identified.notice());
-                });
+        server.probeServer();
     }
 
     private void onConfigurationRows(RowPage page, boolean complete) {
         freshness.recordConfirmation(0);
+        List<ConfigurationDocument> documents = new ArrayList<>();
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(configurationSource.configurationKey()) && !row.deleted()) {
-                inbox.add(ConfigurationDocument.plain(row.value(), "store", clock.nanos()));
+                documents.add(ConfigurationDocument.plain(row.value(), "store", clock.nanos()));
+            } else {
+                control.orderChanged(row);
             }
         }
+        keyConfirmations.answered(configurationWatcher.asked(), documents);
     }
 
     private void onNodeRows(RowPage page, boolean complete) {
@@ -399,7 +424,8 @@
                 directory.revision(),
                 storeFailing() ? Freshness.NEVER_MILLIS : freshness.ageMillis(),
                 localRecord.current(),
-                calls.guard().hash());
+                calls.guard().hash(),
+                control.digest());
     }
 
     /**
@@ -408,8 +434,7 @@
      * @return false if it is not from this VM's backend server or from an ended incarnation
      */
     public boolean handleAnnouncement(Announcement announcement) {
-        LocalServerTracker.Change change = serverTracker.handleAnnouncement(announcement);
-        return applyChange(change, announcement.serverId());
+        return server.announced(announcement);
     }
 
     /**
@@ -419,32 +444,7 @@
      * @return false if it does not concern the current incarnation of this VM's backend server
      */
     public boolean handleDeregistration(String serverId, Optional<Long> bornMillis) {
-        return applyChange(serverTracker.handleDeregistration(serverId, bornMillis), serverId);
-    }
-
-    private boolean applyChange(LocalServerTracker.Change change, String serverId) {
-        if (change == LocalServerTracker.Change.REFUSED) {
-            counters.increment("announcements_refused");
-            log.info("rejected announcement server={}", serverId);
-            return false;
-        }
-        if (change == LocalServerTracker.Change.NONE) {
-            return true;
-        }
-        Announcement known = serverTracker.latest();
-        log.info(
-                "backend server changed server={} change={} leaving={}",
-                serverId,
-                change,
-                known != null && known.leaving());
-        if (change == LocalServerTracker.Change.LIFE) {
-            calls.owner().resetForNewServer();
-        }
-        if (known != null && known.leaving()) {
-            calls.owner().refuseWaiting("leaving");
-        }
-        localRecord.publish();
-        return true;
+        return server.deregistered(serverId, bornMillis);
     }
 
     private void publishRecord(EndpointRecord record) {
@@ -470,6 +470,7 @@
                 () -> {
                     if (!shutdown.started()) {
                         shutdown.start(requestedNanos, onStopped);
+                        control.stop();
                         localRecord.publishLast(this::checkServerEnded);
                     }
                 });
@@ -493,6 +494,7 @@
                 calls.owner().waiting(),
                 callListener.connections(),
                 calls.owner().latestRuns(),
+                control.toString(),
                 directory.records());
     }
 }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarSettings.java
@@ -22,6 +22,7 @@
  * @param retryAllowance retries per window that are allowed regardless of the number of calls, over
  *     all nodes together
  * @param retryWindow length of the window over which retries are counted
+ * @param control what nodes have to agree on beyond the configuration
  */
 public record SidecarSettings(
         String nodeId,
@@ -37,4 +38,39 @@
         Duration grace,
         double retryRatio,
         double retryAllowance,
-        Duration retryWindow) {}
+        Duration retryWindow,
+        ControlSettings control) {
+    /** Creates the settings of a node that only follows the configuration. */
+    public SidecarSettings(
+            String nodeId,
+            String zone,
+            String service,
+            InetSocketAddress server,
+            InetSocketAddress calls,
+            InetSocketAddress peerCalls,
+            InetSocketAddress announcedPeerCalls,
+            InetSocketAddress readiness,
+            InetSocketAddress announcements,
+            InetSocketAddress operations,
+            Duration grace,
+            double retryRatio,
+            double retryAllowance,
+            Duration retryWindow) {
+        this(
+                nodeId,
+                zone,
+                service,
+                server,
+                calls,
+                peerCalls,
+                announcedPeerCalls,
+                readiness,
+                announcements,
+                operations,
+                grace,
+                retryRatio,
+                retryAllowance,
+                retryWindow,
+                ControlSettings.NONE);
+    }
+}
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/SidecarState.java
@@ -18,6 +18,7 @@
  * @param connections open connections of clients
  * @param latestRuns latest runs of calls at its backend server, oldest first: which connection
  *     carried which call, and what came back
+ * @param control who leads, how recent keys are, and what is held back
  * @param servers all known backend servers
  */
 public record SidecarState(
@@ -32,4 +33,5 @@
         int waiting,
         int connections,
         List<String> latestRuns,
+        String control,
         List<EndpointRecord> servers) {}
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/TableWatcher.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/TableWatcher.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.sidecar;
 
 import dev.zinniaring.kernel.Clock;
+import dev.zinniaring.kernel.ClockReading;
 import dev.zinniaring.kernel.EqualJitterBackOff;
 import dev.zinniaring.kernel.Scheduler;
 import dev.zinniaring.store.FutureFailures;
@@ -41,6 +42,7 @@
     private boolean unavailable;
     private long lastFailureNanos;
     private int currentGeneration;
+    private ClockReading asked;
 
     /**
      * Creates a watcher, which is idle until it is started.
@@ -66,6 +68,12 @@
         this.pollDelay = pollDelay;
         this.pageHandler = pageHandler;
         this.backOff = new EqualJitterBackOff(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY, random);
+        this.asked = ClockReading.of(clock);
+    }
+
+    /** Returns the moment at which the store was asked for the page that arrived last. */
+    ClockReading asked() {
+        return asked;
     }
 
     /** Starts or stops watching. */
@@ -121,6 +129,7 @@
             return;
         }
         boolean complete = revision < 0;
+        asked = ClockReading.of(clock);
         (complete ? store.list(table) : store.feed(table, revision, pollTimeout))
                 .whenComplete(
                         (page, thrown) ->
--- a/sidecar/src/test/java/dev/zinniaring/sidecar/FakeRowStore.java
+++ b/sidecar/src/test/java/dev/zinniaring/sidecar/FakeRowStore.java
@@ -1,5 +1,6 @@
 package dev.zinniaring.sidecar;
 
+import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.store.HistoryLostException;
 import dev.zinniaring.store.PlatformOutcomeUnknownException;
 import dev.zinniaring.store.PlatformUnavailableException;
@@ -13,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
+import org.jspecify.annotations.Nullable;
 
 /** An in-memory store of one table; feed requests stay pending until a test completes them. */
 final class FakeRowStore implements RowStore {
@@ -20,6 +22,7 @@
     final List<CompletableFuture<RowPage>> pendingFeeds = new ArrayList<>();
     final List<String> calls = new ArrayList<>();
     long revision = 1;
+    @Nullable Clock clock;
     LongConsumer eraListener = era -> {};
     boolean down;
     boolean loseNextResponse;
@@ -38,7 +41,9 @@
         if (down) {
             return CompletableFuture.failedFuture(new PlatformUnavailableException("down"));
         }
-        return CompletableFuture.completedFuture(new RowPage(List.copyOf(rows.values()), revision));
+        long nowMillis = clock == null ? RowPage.UNKNOWN_TIME : clock.nanos() / 1_000_000L;
+        return CompletableFuture.completedFuture(
+                new RowPage(List.copyOf(rows.values()), revision, nowMillis));
     }
 
     @Override
--- a/standins/src/main/java/dev/zinniaring/standins/RowStoreServer.java
+++ b/standins/src/main/java/dev/zinniaring/standins/RowStoreServer.java
@@ -317,7 +317,9 @@
     }
 
     private ObjectNode body() {
-        return MAPPER.createObjectNode().put("ver", revision).put("now_ms", 1);
+        return MAPPER.createObjectNode()
+                .put("ver", revision)
+                .put("now_ms", System.nanoTime() / 1_000_000L);
     }
 
     private static ObjectNode node(Row row) {
