Bound the memory for request heads

Clients that we don't control ended nodes with requests of legal size made of thousands of short lines: a line of four bytes takes some 250 bytes as objects, and heads were counted nowhere. HeadBudget counts each head by what it takes in memory, line by line as it is decoded, over both listeners of a node and until its request is answered; trailers count too. A head that does not fit is refused with 503 before the rest of it is decoded, large ones first, so that ordinary callers keep room.

A bound on the number of lines was ruled out: a single such request is within the limits and is served in calm.

--- a/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HttpListener.java
@@ -60,6 +60,7 @@
     private final ExchangeHandler handler;
     private final BodyBudget budget;
     private final BodyBudget.Share bodies;
+    private final HeadBudget heads;
     private final StartQueue starts;
     private final Set<InboundConnection> connections = new HashSet<>();
     private @Nullable Channel channel;
@@ -77,13 +78,7 @@
             Clock clock,
             Supplier<ClientLimits> limits,
             ExchangeHandler handler) {
-        this(
-                loop,
-                clock,
-                limits,
-                handler,
-                BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()),
-                startQueue(loop, clock));
+        this(loop, clock, limits, handler, BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()));
     }
 
     /** Creates a listener that keeps the bodies of requests within a budget. */
@@ -93,7 +88,14 @@
             Supplier<ClientLimits> limits,
             ExchangeHandler handler,
             BodyBudget budget) {
-        this(loop, clock, limits, handler, budget, startQueue(loop, clock));
+        this(
+                loop,
+                clock,
+                limits,
+                handler,
+                budget,
+                HeadBudget.ofHeap(Runtime.getRuntime().maxMemory()),
+                startQueue(loop, clock));
     }
 
     private HttpListener(
@@ -102,6 +104,7 @@
             Supplier<ClientLimits> limits,
             ExchangeHandler handler,
             BodyBudget budget,
+            HeadBudget heads,
             StartQueue starts) {
         this.loop = loop;
         this.clock = clock;
@@ -109,6 +112,7 @@
         this.handler = handler;
         this.budget = budget;
         this.bodies = budget.share();
+        this.heads = heads;
         this.starts = starts;
     }
 
@@ -118,11 +122,16 @@
     }
 
     /**
-     * Returns another listener, which shares the budget for bodies and the queue of requests to
-     * start with this one.
+     * Returns another listener, which shares the budgets for heads and bodies and the queue of
+     * requests to start with this one.
      */
     public HttpListener sibling(Supplier<ClientLimits> siblingLimits, ExchangeHandler calls) {
-        return new HttpListener(loop, clock, siblingLimits, calls, budget, starts);
+        return new HttpListener(loop, clock, siblingLimits, calls, budget, heads, starts);
+    }
+
+    /** Sets the action to run for each request that is refused for want of memory for its head. */
+    public void onHeadRefused(Runnable action) {
+        heads.onRefusal(action);
     }
 
     /** Sets the action that receives how long each queued request waited, in nanoseconds. */
@@ -242,6 +251,10 @@
         return bodies;
     }
 
+    HeadBudget heads() {
+        return heads;
+    }
+
     StartQueue starts() {
         return starts;
     }
@@ -294,7 +307,8 @@
             socket.pipeline()
                     .addLast(
                             connection.readAhead(),
-                            new RequestDecoder(config),
+                            new RequestDecoder(
+                                    config, RequestHeaders.factory(connection::claimHead)),
                             new HttpResponseEncoder(),
                             connection);
         }
--- a/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
+++ b/calls/src/main/java/dev/zinniaring/calls/InboundConnection.java
@@ -55,6 +55,7 @@
     private final RequestPipeline<Exchange, Answer> pipeline = new RequestPipeline<>();
     private final ReadAhead readAhead = new ReadAhead(this::bytesArrived);
     private final IdentityHashMap<Exchange, BodyBudget.Claim> claims = new IdentityHashMap<>();
+    private final HeadClaims heads = new HeadClaims();
     private @Nullable ChannelHandlerContext context;
     private BodyBudget.@Nullable Claim readingClaim;
     private int checkedBodyBytes;
@@ -91,6 +92,7 @@
         pipeline.cancel().forEach(Exchange::cancel);
         claims.values().forEach(BodyBudget.Claim::release);
         claims.clear();
+        heads.releaseAll();
         releaseReadingClaim();
     }
 
@@ -150,6 +152,11 @@
         return claim;
     }
 
+    /** Starts to count the memory for a head that is about to be decoded, or for its trailers. */
+    HeadBudget.Claim claimHead() {
+        return heads.add(listener.heads().claim());
+    }
+
     private void releaseReadingClaim() {
         BodyBudget.Claim claim = readingClaim;
         readingClaim = null;
@@ -183,6 +190,7 @@
                         listener.handler().repeatable(exchange),
                         lastRequestRead,
                         body.length);
+        heads.read(exchange);
         listener.addReadBytes(body.length);
         BodyBudget.Claim claim = readingClaim;
         if (claim != null) {
@@ -230,6 +238,7 @@
         continueExpected = false;
         lastRequestRead = true;
         releaseReadingClaim();
+        heads.releaseUnread();
         pipeline.addRejected(Exchange.unread(listener.clock().nanos()), rejection(status));
         advance();
     }
@@ -296,6 +305,7 @@
             return false;
         }
         listener.addReadBytes(-turn.request().body().length);
+        heads.release(turn.request());
         BodyBudget.Claim claim = claims.remove(turn.request());
         if (claim != null) {
             claim.release();
--- a/calls/src/main/java/dev/zinniaring/calls/RequestDecoder.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestDecoder.java
@@ -1,6 +1,7 @@
 package dev.zinniaring.calls;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
@@ -11,11 +12,17 @@
 final class RequestDecoder extends HttpRequestDecoder {
     private static final int METHOD_TARGET_VERSION = 3;
 
-    RequestDecoder(HttpDecoderConfig config) {
+    /**
+     * Creates a decoder.
+     *
+     * @param headers creates the headers and the trailers of each request
+     */
+    RequestDecoder(HttpDecoderConfig config, HttpHeadersFactory headers) {
         super(
                 config.setStrictLineParsing(true)
                         .setUseRfc9112TransferEncoding(true)
-                        .setHeadersFactory(RequestHeaders.FACTORY));
+                        .setHeadersFactory(headers)
+                        .setTrailersFactory(headers));
     }
 
     @Override
--- a/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
+++ b/calls/src/main/java/dev/zinniaring/calls/RequestReader.java
@@ -80,6 +80,9 @@
     }
 
     private static int statusOf(Throwable cause) {
+        if (cause instanceof RequestHeaders.NoMemoryException) {
+            return SERVICE_UNAVAILABLE;
+        }
         return cause instanceof TooLongHttpHeaderException
                         || cause instanceof TooLongHttpLineException
                 ? HEADERS_TOO_LARGE
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -231,6 +231,7 @@
         HttpListener listener =
                 new HttpListener(group, clock, activeConfiguration::limits, calls.entry());
         listener.onStart(metrics::started);
+        listener.onHeadRefused(() -> counters.increment("heads_refused"));
         return listener;
     }
 
