Do not give a free slot to a call whose caller has left

A slot that gets free in the round of the event loop in which the end of a waiting caller arrives was given to that caller's call (GONE): Netty reports the end of a connection by a task of its own, which it may add behind the one that fills slots. Slots are now filled by a scheduled task, which runs after the loop's next reads.

A warm-up ends once callers are there nevertheless, as after a loss of power.

--- a/calls/src/main/java/dev/zinniaring/calls/AdmissibleCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/AdmissibleCall.java
@@ -5,6 +5,11 @@
     /** Returns the order of the call's rank, 0 for the most urgent. */
     int rankOrder();
 
+    /** Returns whether a client account makes the call, rather than another backend server. */
+    default boolean ofAccount() {
+        return false;
+    }
+
     /** Returns the name of the call's route. */
     String routeName();
 
--- a/calls/src/main/java/dev/zinniaring/calls/CallPathWarmUp.java
+++ b/calls/src/main/java/dev/zinniaring/calls/CallPathWarmUp.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -25,8 +26,11 @@
  * compiled before a node takes calls. The first calls of a process take several times the processor
  * time of later ones; a restarted node on a small VM would fall behind its callers.
  *
+ * <p>If clients call nevertheless, since too few other nodes are there to take their calls, the
+ * warm-up ends, as it would only delay them.
+ *
  * <pre>{@code
- * new CallPathWarmUp(group, names, clock).run(result -> ready = true);
+ * new CallPathWarmUp(group, names, clock).run(() -> callers.isEmpty(), result -> ready = true);
  * }</pre>
  */
 public final class CallPathWarmUp {
@@ -62,7 +66,8 @@
      * How a warm-up ended.
      *
      * @param answered number of calls that were answered
-     * @param reason reason code: {@code done}, {@code time-over} or that of a failure
+     * @param reason reason code: {@code done}, {@code time-over}, {@code not-wanted} or that of a
+     *     failure
      */
     public record Result(int answered, String reason) {}
 
@@ -81,17 +86,19 @@
     /**
      * Sends the calls one after the other.
      *
+     * @param wanted whether the warm-up still serves a purpose; asked before each call
      * @param onEnd receives the result once, on the event loop, when the calls are done, fail or
      *     take too long
      * @throws KernelException if no port can be opened on the loopback interface
      */
-    public void run(Consumer<Result> onEnd) throws KernelException {
+    public void run(BooleanSupplier wanted, Consumer<Result> onEnd) throws KernelException {
         HttpListener server = listen(this::serve);
         HttpListener peer = listen(new PeerCalls(owner("i2", server), names));
         HttpListener entry = listen(entry(owner("i1", server), peer.address()));
         Sequence sequence =
                 new Sequence(
                         entry.address(),
+                        wanted,
                         result -> {
                             List.of(server, peer, entry).forEach(HttpListener::stop);
                             onEnd.accept(result);
@@ -200,13 +207,15 @@
     /** The calls, each sent when the one before has been answered. */
     private final class Sequence implements ResponseListener {
         private final InetSocketAddress entry;
+        private final BooleanSupplier wanted;
         private final Consumer<Result> onEnd;
         private final long startNanos = clock.nanos();
         private int sent;
         private int answered;
 
-        Sequence(InetSocketAddress entry, Consumer<Result> onEnd) {
+        Sequence(InetSocketAddress entry, BooleanSupplier wanted, Consumer<Result> onEnd) {
             this.entry = entry;
+            this.wanted = wanted;
             this.onEnd = onEnd;
         }
 
@@ -219,6 +228,10 @@
                 end("time-over");
                 return;
             }
+            if (!wanted.getAsBoolean()) {
+                end("not-wanted");
+                return;
+            }
             boolean post = sent % 4 < 2;
             String service = sent % 2 == 0 ? LOCAL_SERVICE : PEER_SERVICE;
             sent++;
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -416,6 +416,7 @@
                             this::ended);
             job.knownLimitPerSecond(calls.balancer().limitPerSecond(server));
             job.identify(fingerprint, calls.guard().suspect(fingerprint));
+            job.ofAccount(account != null);
             job.onProbeFailed(this::probeFailed);
         }
 
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -44,6 +44,9 @@
     private long clientsSwitchedNanos;
     private boolean leaving;
 
+    /** Written on the event loop only. */
+    private volatile int received;
+
     private EntryCalls(Builder builder) {
         settings = builder.settings;
         names = builder.names;
@@ -90,6 +93,7 @@
     @Override
     public void handle(Exchange exchange) {
         counters.increment("calls");
+        received = received + 1;
         if (leaving) {
             refuse(exchange, "node-leaving", LEAVING_RETRY_SECONDS);
             return;
@@ -175,6 +179,11 @@
         leaving = true;
     }
 
+    /** Returns the number of calls that clients have sent so far. May be called on any thread. */
+    public int received() {
+        return received;
+    }
+
     /** Drops the statistics of servers that no longer exist; to be called periodically. */
     public void pruneServerStats() {
         balancer.retain(servers.get()::contains);
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -317,20 +317,25 @@
 
     /**
      * Fills free slots once the event loop has read what has arrived, since the callers of waiting
-     * calls may have left.
+     * calls may have left. The end of a connection is reported by a task of its own, which the loop
+     * may add behind the first one here; a scheduled task runs after the loop's next reads.
      */
     private void dispatchSoon() {
         if (!dispatchQueued) {
             dispatchQueued = true;
-            client.loop()
-                    .execute(
-                            () -> {
-                                dispatchQueued = false;
-                                dispatchWaiting();
-                            });
+            client.loop().execute(this::scheduleDispatch);
         }
     }
 
+    private void scheduleDispatch() {
+        client.loop().schedule(this::dispatchQueued, 0, TimeUnit.NANOSECONDS);
+    }
+
+    private void dispatchQueued() {
+        dispatchQueued = false;
+        dispatchWaiting();
+    }
+
     /** A running call, which occupies one slot. */
     private final class Run implements ResponseListener {
         private final OwnerJob job;
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
@@ -18,6 +18,7 @@
     private final long targetNanos;
     private final Consumer<OwnerResult> results;
     private double knownLimitPerSecond = RateLimit.NONE;
+    private boolean ofAccount;
     private long fingerprint;
     private @Nullable Suspect knownSuspect;
     private Runnable cancellation = () -> {};
@@ -92,6 +93,16 @@
         return targetNanos;
     }
 
+    @Override
+    public boolean ofAccount() {
+        return ofAccount;
+    }
+
+    /** Sets whether a client account makes the call. */
+    void ofAccount(boolean value) {
+        ofAccount = value;
+    }
+
     /** Returns the request limit of the server as the entry node knows it. */
     double knownLimitPerSecond() {
         return knownLimitPerSecond;
--- a/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
@@ -19,6 +19,7 @@
     private final RateLimit limit;
     private final SlotQueue<T> queue = new SlotQueue<>();
     private final SlotReservation reservation = new SlotReservation();
+    private final WaitLimits waitLimits = new WaitLimits();
     private final RunTimes runTimes = new RunTimes();
     private int running;
     private long runningNanos;
@@ -54,7 +55,8 @@
      */
     Offer<T> offer(T call, int slots) {
         long nowNanos = clock.nanos();
-        boolean urgent = reservation.isUrgent(call.rankOrder(), call.routeTargetMillis(), nowNanos);
+        int reservedRank = call.ofAccount() ? SlotReservation.LEAST_URGENT : call.rankOrder();
+        boolean urgent = reservation.isUrgent(reservedRank, call.routeTargetMillis(), nowNanos);
         int usableSlots = urgent ? slots : reservation.nonUrgentSlots(slots);
         boolean first = queue.size() == 0 || (urgent && !limit.isSet());
         if (running < usableSlots && first && limit.waitNanos(0) == 0) {
@@ -63,15 +65,26 @@
         SlotQueue.CallProfile profile =
                 new SlotQueue.CallProfile(
                         call.rankOrder(),
-                        urgent,
+                        urgent && !call.ofAccount(),
                         expectedNanos(call),
                         call.targetNanos(),
-                        call.deadlineNanos());
+                        call.deadlineNanos(),
+                        maxWaitNanos(call, nowNanos));
         SlotQueue.Entry<T> entry =
                 queue.offer(call, profile, usableSlots, runningNanos, nowNanos, limit::waitNanos);
         return entry == null ? new Offer<>(lackOfRoom(), null) : new Offer<>(Verdict.WAIT, entry);
     }
 
+    /** Returns the longest wait with which a call is queued, the same for all of accounts. */
+    private long maxWaitNanos(T call, long nowNanos) {
+        if (!call.ofAccount()) {
+            return Long.MAX_VALUE;
+        }
+        double usableNanos = SlotQueue.TARGET_FRACTION * call.routeTargetMillis() * 1e6;
+        waitLimits.seen(call.routeName(), (long) usableNanos - expectedNanos(call), nowNanos);
+        return waitLimits.strictestNanos(nowNanos);
+    }
+
     /** Returns what a further call would lack now: request limit or slots. */
     Verdict lackOfRoom() {
         return limit.waitNanos(queue.size()) > 0 ? Verdict.LIMITED : Verdict.FULL;
--- a/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
@@ -26,7 +26,7 @@
      * Fraction of the time to its target within which a call must be expected to finish. Run times
      * vary by a third; with a queue as long as the whole time, half of the calls would finish late.
      */
-    private static final double TARGET_FRACTION = 0.75;
+    static final double TARGET_FRACTION = 0.75;
 
     /**
      * Fraction of the time to its deadline that a call may wait in the queue if it is expected to
@@ -63,13 +63,25 @@
      * @param expectedNanos expected run time
      * @param targetNanos clock reading of the latency target, up to which an answer has full value
      * @param deadlineNanos clock reading after which the caller no longer wants an answer
+     * @param maxWaitNanos longest expected wait with which the call is queued
      */
     record CallProfile(
             int rankOrder,
             boolean urgent,
             long expectedNanos,
             long targetNanos,
-            long deadlineNanos) {}
+            long deadlineNanos,
+            long maxWaitNanos) {
+        /** Creates the profile of a call whose wait is bounded by its times only. */
+        CallProfile(
+                int rankOrder,
+                boolean urgent,
+                long expectedNanos,
+                long targetNanos,
+                long deadlineNanos) {
+            this(rankOrder, urgent, expectedNanos, targetNanos, deadlineNanos, Long.MAX_VALUE);
+        }
+    }
 
     /**
      * Adds a call, or returns null if it is not expected to be answered in time.
@@ -106,6 +118,9 @@
         }
         long leftNanos = profile.deadlineNanos() - nowNanos;
         double targetNanos = nowNanos + TARGET_FRACTION * (profile.targetNanos() - nowNanos);
+        if (waitNanos > profile.maxWaitNanos()) {
+            return null;
+        }
         boolean late = doneNanos > targetNanos;
         // The caller of an urgent call holds a slot of another server; refusing wastes its work.
         if (late && !profile.urgent() && waitNanos > leftNanos * LATE_WAIT_FRACTION) {
@@ -141,12 +156,20 @@
         return null;
     }
 
-    /** Removes and returns the calls that can no longer meet their deadline. */
+    /**
+     * Removes and returns the calls that can no longer meet their deadline. A call whose wait is
+     * bounded is also removed if it has been overtaken for so long that it misses its target, while
+     * another one that waits can meet its own.
+     */
     List<T> removeExpired(long nowNanos) {
+        boolean anyInTime =
+                waiting.stream().anyMatch(entry -> !missesTarget(entry.profile, nowNanos));
         List<T> removed = new ArrayList<>();
         for (Iterator<Entry<T>> entries = waiting.iterator(); entries.hasNext(); ) {
             Entry<T> entry = entries.next();
-            if (missesDeadline(entry, nowNanos)) {
+            boolean bounded = entry.profile.maxWaitNanos() != Long.MAX_VALUE;
+            boolean overtaken = bounded && anyInTime && missesTarget(entry.profile, nowNanos);
+            if (overtaken || missesDeadline(entry, nowNanos)) {
                 entries.remove();
                 removed.add(entry.item);
             }
@@ -154,6 +177,10 @@
         return removed;
     }
 
+    private static boolean missesTarget(CallProfile profile, long nowNanos) {
+        return nowNanos + profile.expectedNanos() > profile.targetNanos();
+    }
+
     private static boolean missesDeadline(Entry<?> entry, long nowNanos) {
         return nowNanos + entry.profile.expectedNanos() / 2 > entry.profile.deadlineNanos();
     }
--- a/calls/src/main/java/dev/zinniaring/calls/SlotReservation.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotReservation.java
@@ -25,6 +25,9 @@
     /** One slot in this many is reserved, and at least one. */
     private static final int SLOTS_PER_RESERVED_SLOT = 7;
 
+    /** Rank of the calls of accounts, whose own ranks only order them among themselves. */
+    static final int LEAST_URGENT = Integer.MAX_VALUE;
+
     private final Map<CallClass, Long> seenNanos = new HashMap<>();
 
     private record CallClass(int rankOrder, long targetMillis) {}
--- a/calls/src/test/java/dev/zinniaring/calls/CallPathWarmUpTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/CallPathWarmUpTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -27,9 +28,14 @@
     }
 
     private CallPathWarmUp.Result run(Clock clock) throws Exception {
+        return run(clock, () -> true);
+    }
+
+    private CallPathWarmUp.Result run(Clock clock, BooleanSupplier wanted) throws Exception {
         CallPathWarmUp warmUp = new CallPathWarmUp(group, HeaderNames.builder().build(), clock);
         CallPathWarmUp.Result[] results = new CallPathWarmUp.Result[1];
         warmUp.run(
+                wanted,
                 result -> {
                     results[0] = result;
                     ends.incrementAndGet();
@@ -64,6 +70,16 @@
         assertThat(result.reason()).isEqualTo("done");
     }
 
+    /** After a loss of power, all nodes start at once and callers do not go elsewhere. */
+    @Test
+    void theWarmUpEndsOnceCallersAreThere() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        CallPathWarmUp.Result result =
+                run(stepping(Duration.ofNanos(1)), () -> asked.incrementAndGet() <= 5);
+        assertThat(result.answered()).isEqualTo(5);
+        assertThat(result.reason()).isEqualTo("not-wanted");
+    }
+
     /** A node on a slow VM must become ready even if it is not warm. */
     @Test
     void theWarmUpEndsWhenItsTimeIsOver() throws Exception {
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -128,8 +128,8 @@
         this.random = random;
         this.client = client;
         this.counters = new CallCounters(registry);
-        LoopMetrics loopMetrics = new LoopMetrics(registry);
-        this.loopLag = new LoopLag(clock, SWEEP_PERIOD, loopMetrics::lagged);
+        LoopMetrics metrics = new LoopMetrics(registry);
+        this.loopLag = new LoopLag(clock, SWEEP_PERIOD, metrics::lagged);
         this.activeConfiguration = activeConfiguration(registry);
         this.inbox = new ConfigurationInbox(activeConfiguration, parseExecutor);
         this.serverTracker = serverTracker();
@@ -149,7 +149,7 @@
                         .control(control)
                         .build();
         this.peerCalls = new PeerCalls(calls.owner(), names);
-        this.callListener = callListener(loopMetrics);
+        this.callListener = callListener(metrics);
         this.peerListener = peerListener();
         this.configurationWatcher =
                 watcher(
@@ -157,15 +157,12 @@
                         CONFIGURATION_POLL_TIMEOUT,
                         CONFIGURATION_POLL_DELAY,
                         this::onConfigurationRows);
-        this.nodesWatcher =
-                watcher(NodesTable.NAME, NODES_POLL_TIMEOUT, NODES_POLL_DELAY, this::onNodeRows);
+        this.nodesWatcher = nodesWatcher();
         this.freshness = new Freshness(clock);
         this.writer =
                 new RecordWriter(store, NodesTable.NAME, settings.nodeId(), scheduler, random);
         this.suspects = suspectGossip(peerClient);
         this.gossip = peerGossip(peerClient);
-        configurationWatcher.onFailure(gossip::push);
-        activeConfiguration.onChange(() -> scheduler.execute(this::onConfigurationChanged));
         this.probe = new ServerProbe(client, names, settings.server());
         this.shutdown = gracefulShutdown(names);
         this.localRecord =
@@ -205,18 +202,10 @@
                 counters,
                 activeConfiguration::get,
                 () -> directory.servers().nodes(),
-                () -> nodesListed && !shuttingDown() && isReader(),
+                () -> nodesListed && !shutdown.started() && gossip.isReader(),
                 peerAddress());
     }
 
-    private boolean shuttingDown() {
-        return shutdown.started();
-    }
-
-    private boolean isReader() {
-        return gossip.isReader();
-    }
-
     private LocalServerTracker serverTracker() {
         return new LocalServerTracker(
                 clock, settings.service(), settings.server(), this::serverSettings);
@@ -290,6 +279,10 @@
         }
     }
 
+    private TableWatcher nodesWatcher() {
+        return watcher(NodesTable.NAME, NODES_POLL_TIMEOUT, NODES_POLL_DELAY, this::onNodeRows);
+    }
+
     private TableWatcher watcher(
             String table,
             Duration pollTimeout,
@@ -315,6 +308,8 @@
     public void start() throws KernelException {
         startNanos = clock.nanos();
         followStoreEra();
+        configurationWatcher.onFailure(gossip::push);
+        activeConfiguration.onChange(() -> scheduler.execute(this::onConfigurationChanged));
         gossip.onControl(control::heard);
         gossip.onRecords(records -> onRestored(localRecord.restore(records)));
         calls.owner().onMisdirected(server::misdirected);
@@ -453,6 +448,11 @@
         writer.write(record);
     }
 
+    /** Returns the number of calls that clients have sent. May be called from any thread. */
+    public int receivedCalls() {
+        return calls.entry().received();
+    }
+
     /** Returns whether this node is ready for calls of clients. */
     public boolean ready() {
         boolean listedOrTimedOut =
@@ -472,15 +472,12 @@
                     if (!shutdown.started()) {
                         shutdown.start(requestedNanos, onStopped);
                         control.stop();
-                        localRecord.publishLast(this::checkServerEnded);
+                        localRecord.publishLast(
+                                ended -> probe.checkEnded(serverSettings().healthPath(), ended));
                     }
                 });
     }
 
-    private void checkServerEnded(Runnable onEnded) {
-        probe.checkEnded(serverSettings().healthPath(), onEnded);
-    }
-
     /** Returns the current state. Must be called on the event loop. */
     public SidecarState state() {
         return new SidecarState(
