Place calls elsewhere while a server is slow for a moment

Servers of two services share their VMs with others and take 2.5 times as long for 0.15 of the time; they say so in the fourth figure of their load header, which was dropped.

The node beside a server hears the figure with every answer, other nodes every two seconds at best, so it decides: a call that has not been tried elsewhere is declined as not run if it would take more than half of its time here. Servers that name no fourth figure are used as before.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -417,6 +417,7 @@
             job.knownLimitPerSecond(calls.balancer().limitPerSecond(server));
             job.identify(fingerprint, calls.guard().suspect(fingerprint));
             job.ofAccount(account != null);
+            job.firstPlacement(placements == 1 && servers().size() > 1);
             job.onProbeFailed(this::probeFailed);
         }
 
--- a/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
+++ b/calls/src/main/java/dev/zinniaring/calls/HopHeaders.java
@@ -39,6 +39,9 @@
      */
     static final String SUSPECT = "Zinniaring-Suspect";
 
+    /** Present if the call may go to another server when this one is slow. */
+    static final String FIRST_PLACEMENT = "Zinniaring-First-Placement";
+
     /** Outcome of the call: the header value of an {@link OwnerResult.Outcome}. */
     static final String OUTCOME = "Zinniaring-Outcome";
 
@@ -76,6 +79,7 @@
                     lowerCase(TARGET),
                     lowerCase(KNOWN_LIMIT),
                     lowerCase(SUSPECT),
+                    lowerCase(FIRST_PLACEMENT),
                     lowerCase(OUTCOME),
                     lowerCase(REASON),
                     lowerCase(LOAD));
--- a/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
+++ b/calls/src/main/java/dev/zinniaring/calls/LoadBalancer.java
@@ -47,6 +47,9 @@
     /** Back-off after a server was full; some of its calls finish in this time. */
     private static final long FULL_BACK_OFF_NANOS = 25_000_000L;
 
+    /** Back-off after a server was slow; half of a usual slow moment. */
+    private static final long SLOW_BACK_OFF_NANOS = 150_000_000L;
+
     /** First back-off after a refusal for another reason; it doubles with each further refusal. */
     private static final long MIN_BACK_OFF_NANOS = 100_000_000L;
 
@@ -220,6 +223,8 @@
             long waitNanos = serverStats.limitWaitNanos(nowNanos);
             long nanos = Math.max(FULL_BACK_OFF_NANOS, Math.min(MAX_BACK_OFF_NANOS, waitNanos));
             serverStats.backOffRoute(route.route().name(), nanos, nowNanos);
+        } else if (reason.equals(OwnerCalls.SLOW)) {
+            serverStats.backOffRoute(route.route().name(), SLOW_BACK_OFF_NANOS, nowNanos);
         } else if (reason.equals("full") || reason.equals("too-late")) {
             serverStats.backOffRoute(route.route().name(), FULL_BACK_OFF_NANOS, nowNanos);
         } else if (!reason.equals(CrashWatch.HELD) && !reason.equals(CrashWatch.ISOLATED)) {
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -3,8 +3,6 @@
 import dev.zinniaring.admission.CrashGuard;
 import dev.zinniaring.kernel.Clock;
 import dev.zinniaring.kernel.RateLimit;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,25 +17,11 @@
 public final class OwnerCalls {
     private static final int MISDIRECTED = 421;
     private static final String NO_SERVER = "no-server";
-    private static final String OTHER_SERVER = "other-server";
 
-    /**
-     * Extra time after the deadline for the answer of the backend server, which ends a call by
-     * itself at the deadline.
-     */
-    private static final long DEADLINE_GRACE_MILLIS = 100;
+    /** Reason of a refusal because the server is slow at the moment. */
+    static final String SLOW = "slow";
 
-    /** Connect timeout for a process on the same VM. */
-    private static final int CONNECT_MILLIS = 250;
-
-    /**
-     * Longest idle time after which a GET reuses a connection; after that, the server may have
-     * closed it.
-     */
-    private static final int MAX_IDLE_MILLIS = 5_000;
-
-    /** Like {@link #MAX_IDLE_MILLIS}, for other requests, which may not be safe to retry. */
-    private static final int MAX_IDLE_NON_GET_MILLIS = 1_000;
+    private static final String OTHER_SERVER = "other-server";
 
     /** First back-off after a failure to connect; doubles up to {@link #MAX_BACK_OFF_NANOS}. */
     private static final long MIN_BACK_OFF_NANOS = 100_000_000L;
@@ -57,6 +41,7 @@
     private final CrashWatch crashes;
     private final RunLog runLog;
     private final StopAdmission stop;
+    private final SlowMoments slowMoments;
     private final CallLog log;
     private Runnable misdirected = () -> {};
     private Consumer<String> leavingListener = serverId -> {};
@@ -99,6 +84,7 @@
         this.admission = new ServerAdmission<>(clock, rate);
         this.crashes = new CrashWatch(client, guard, counters);
         this.stop = new StopAdmission(clock);
+        this.slowMoments = new SlowMoments(clock);
         this.log = new CallLog(clock, counters);
         this.runLog = new RunLog(clock, counters, log);
         this.downUntilNanos = clock.nanos();
@@ -210,6 +196,11 @@
         }
         limit.setServer(server.serverId());
         limit.reported(job.knownLimitPerSecond());
+        if (job.firstPlacement() && slowFor(job)) {
+            counters.increment("owner_slow");
+            endNotRun(job, SLOW);
+            return;
+        }
         ServerAdmission.Offer<OwnerJob> offer = admission.offer(job, slots(server));
         SlotQueue.Entry<OwnerJob> entry = offer.entry();
         if (offer.verdict() == ServerAdmission.Verdict.START) {
@@ -223,6 +214,11 @@
         }
     }
 
+    private boolean slowFor(OwnerJob job) {
+        return slowMoments.shouldGoElsewhere(
+                admission.expectedNanos(job), job.targetNanos() - clock.nanos());
+    }
+
     private void refuse(OwnerJob job, ServerAdmission.Verdict verdict) {
         String reason = verdict == ServerAdmission.Verdict.LIMITED ? "limited" : "full";
         counters.increment("owner_" + reason);
@@ -364,7 +360,10 @@
             limit.sent();
             guarded = crashes.callStarted(server, job);
             PooledHttpClient.Sending sending =
-                    client.send(server.address(), request(leftNanos), this);
+                    client.send(
+                            server.address(),
+                            ServerRequests.of(job, server, leftNanos, names),
+                            this);
             job.onCancel(
                     () -> {
                         sending.cancel();
@@ -383,35 +382,6 @@
             }
         }
 
-        private OutboundRequest request(long leftNanos) {
-            Exchange exchange = job.exchange();
-            HttpHeaders headers = HopHeaders.withKnownNames();
-            HopHeaders.copyEndToEnd(exchange.headers(), headers);
-            long leftMillis = Math.max(1, leftNanos / 1_000_000L);
-            headers.set(names.deadlineMillis(), leftMillis);
-            headers.set(names.expectedServer(), server.serverId());
-            headers.set(HttpHeaderNames.CONNECTION, "keep-alive");
-            return new OutboundRequest(
-                    exchange.method(),
-                    exchange.target(),
-                    headers,
-                    exchange.body(),
-                    leftMillis + DEADLINE_GRACE_MILLIS,
-                    CONNECT_MILLIS,
-                    maxIdleMillis(exchange.method()),
-                    names.callId());
-        }
-
-        /**
-         * Returns 0, for a new connection, if the answer cannot be matched by the id of the call.
-         */
-        private int maxIdleMillis(String method) {
-            if (job.callId().isEmpty()) {
-                return 0;
-            }
-            return method.equals("GET") ? MAX_IDLE_MILLIS : MAX_IDLE_NON_GET_MILLIS;
-        }
-
         @Override
         public void onSend(long connection, int requests, boolean idCarried) {
             tracer.sent(connection, requests, idCarried);
@@ -443,6 +413,7 @@
                 return;
             }
             observe(server.serverId(), ServerNotice.of(answer.headers(), names));
+            slowMoments.answered(answer.headers().get(names.load()));
             if (answer.headers().contains(names.notExecuted())) {
                 counters.increment("server_declined");
                 guarded(CrashGuard.Run::notSent);
--- a/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerJob.java
@@ -19,6 +19,7 @@
     private final Consumer<OwnerResult> results;
     private double knownLimitPerSecond = RateLimit.NONE;
     private boolean ofAccount;
+    private boolean firstPlacement;
     private long fingerprint;
     private @Nullable Suspect knownSuspect;
     private Runnable cancellation = () -> {};
@@ -103,6 +104,16 @@
         ofAccount = value;
     }
 
+    /** Returns whether other servers have not been tried, so that the call may go elsewhere. */
+    boolean firstPlacement() {
+        return firstPlacement;
+    }
+
+    /** Sets whether other servers have not been tried and there are some. */
+    void firstPlacement(boolean value) {
+        firstPlacement = value;
+    }
+
     /** Returns the request limit of the server as the entry node knows it. */
     double knownLimitPerSecond() {
         return knownLimitPerSecond;
--- a/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerCalls.java
@@ -55,6 +55,7 @@
             ServerNotice.parseLimit(knownLimit).ifPresent(job::knownLimitPerSecond);
         }
         job.identify(CallFingerprint.of(exchange, names), SuspectHeader.read(headers));
+        job.firstPlacement(headers.contains(HopHeaders.FIRST_PLACEMENT));
         job.ofAccount(headers.contains(names.account()));
         exchange.onCancel(job::cancel);
         owner.accept(job);
--- a/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
+++ b/calls/src/main/java/dev/zinniaring/calls/PeerSender.java
@@ -104,6 +104,9 @@
         if (job.knownLimitPerSecond() != RateLimit.NONE) {
             headers.set(HopHeaders.KNOWN_LIMIT, job.knownLimitPerSecond());
         }
+        if (job.firstPlacement()) {
+            headers.set(HopHeaders.FIRST_PLACEMENT, "1");
+        }
         SuspectHeader.write(headers, job.knownSuspect());
         headers.set(HttpHeaderNames.CONNECTION, "keep-alive");
         return new OutboundRequest(
