--- a/accounts/src/main/java/dev/zinniaring/accounts/QuotaCoordinator.java
+++ b/accounts/src/main/java/dev/zinniaring/accounts/QuotaCoordinator.java
@@ -120,7 +120,7 @@
     private Bucket bucket(Account account, long nowNanos) {
         Bucket bucket = buckets.computeIfAbsent(account.name(), name -> new Bucket(0, startNanos));
         bucket.refill(
-                account.quota().perSecond() * heardFraction(),
+                tolerance.perSecond(account.quota()) * heardFraction(),
                 tolerance.burst(account.quota()),
                 nowNanos);
         return bucket;
@@ -156,7 +156,7 @@
     }
 
     private double fraction(Account account, double wantedPerSecond, long nowNanos) {
-        double perSecond = account.quota().perSecond() * heardFraction();
+        double perSecond = tolerance.perSecond(account.quota()) * heardFraction();
         double allowed = perSecond + bucket(account, nowNanos).tokens / HORIZON_SECONDS;
         return wantedPerSecond <= 0 ? 1 : Math.max(0, Math.min(1, allowed / wantedPerSecond));
     }
--- a/accounts/src/main/java/dev/zinniaring/accounts/QuotaTolerance.java
+++ b/accounts/src/main/java/dev/zinniaring/accounts/QuotaTolerance.java
@@ -20,11 +20,27 @@
      */
     private static final double USABLE = 0.5;
 
+    /**
+     * Part of the declared burst that an account may make at once after a pause. The rest is spread
+     * over the window, so that steady demand gets all that a window allows.
+     */
+    private static final double AT_ONCE = 0.25;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** Returns the calls that an account may make at once after a pause. */
     double burst(Quota quota) {
-        double windowSeconds = window.toMillis() / 1_000.0;
         double tolerated =
-                overage * (quota.perSecond() * windowSeconds + quota.burst()) + slackCalls;
-        return Math.max(1, quota.burst() + USABLE * tolerated);
+                overage * (quota.perSecond() * windowSeconds() + quota.burst()) + slackCalls;
+        return Math.max(1, AT_ONCE * quota.burst() + USABLE * tolerated);
+    }
+
+    /** Returns the calls a second that an account may make without pause. */
+    double perSecond(Quota quota) {
+        return quota.perSecond() + (1 - AT_ONCE) * quota.burst() / windowSeconds();
+    }
+
+    private double windowSeconds() {
+        return window.toMillis() / MILLIS_PER_SECOND;
     }
 }
--- a/accounts/src/test/java/dev/zinniaring/accounts/QuotaLoadTest.java
+++ b/accounts/src/test/java/dev/zinniaring/accounts/QuotaLoadTest.java
@@ -76,6 +76,15 @@
                 .isLessThanOrEqualTo((int) QuotaFleet.allowed(Quota.of(perSecond, perSecond)));
     }
 
+    /** A window allows the rate and the burst, so demand of 1.1 times the rate is owed. */
+    @ParameterizedTest
+    @CsvSource({"2,2", "60,4", "320,5"})
+    void steadyDemandGetsMostOfWhatAWindowAllows(double perSecond, long seed) {
+        QuotaFleet fleet = fleet(perSecond, seed);
+        fleet.run(Duration.ofSeconds(60), 1.1 * perSecond);
+        assertThat(fleet.admitted).isGreaterThanOrEqualTo((int) (0.9 * fleet.wanted));
+    }
+
     @ParameterizedTest
     @CsvSource({"20,4,1", "320,20,2"})
     void aLoweredQuotaIsKeptOneWindowLater(double perSecond, double lowered, long seed) {
