Let calls of other servers go before those of accounts

The ranks of accounts took the place of the routes' and stood in one order with the ranks of lookups between servers, so that uploads of an urgent account went before the lookups for which another server holds a slot.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -288,27 +288,14 @@
         calls.counters().increment("refused_" + lastReason.replace('-', '_'));
         log("refused", lastReason);
         Answer refusal = refusal(SERVICE_UNAVAILABLE);
-        refusal.headers().set("Retry-After", retryAfterSeconds());
+        refusal.headers().set("Retry-After", retrySeconds());
         finish(refusal, "refused");
     }
 
-    private String retryAfterSeconds() {
-        if (lastReason.equals(CrashWatch.HELD)) {
-            return Long.toString(calls.guard().timeToExpiry(fingerprint).toSeconds());
-        }
-        long nowNanos = clock.nanos();
-        if (calls.stop().stopping() && lastReason.equals(StopAdmission.REASON)) {
-            return RetryAfter.secondsAfter(
-                    calls.untilSwitchedNanos() / 1e6,
-                    (deadlineNanos - nowNanos) / 1e6,
-                    calls.random());
-        }
-        return RetryAfter.seconds(
-                (targetNanos - nowNanos) / 1e6,
-                (deadlineNanos - nowNanos) / 1e6,
-                calls.balancer().meanNanos(route) / 1e6,
-                calls.balancer().backOffNanos(servers(), route) / 1e6,
-                calls.random());
+    private String retrySeconds() {
+        return lastReason.equals(CrashWatch.HELD)
+                ? Long.toString(calls.guard().timeToExpiry(fingerprint).toSeconds())
+                : calls.retrySeconds(route, servers(), targetNanos, deadlineNanos, lastReason);
     }
 
     private void timedOut() {
--- a/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCalls.java
@@ -8,6 +8,7 @@
 import dev.zinniaring.rollout.VersionShares;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -21,6 +22,7 @@
 public final class EntryCalls implements ExchangeHandler {
     private static final int NOT_FOUND = 404;
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final String LEAVING_RETRY_SECONDS = "0.02";
     private static final String NO_CONFIGURATION_RETRY_SECONDS = "0.2";
 
@@ -198,9 +200,31 @@
         return stop;
     }
 
-    /** Returns the time until clients have switched to other nodes, negative once they have. */
-    long untilSwitchedNanos() {
-        return clientsSwitchedNanos - clock.nanos();
+    /**
+     * Returns the value of the {@code Retry-After} header of a refusal.
+     *
+     * @param candidates servers that the call may use
+     * @param targetNanos clock reading of the call's latency target
+     * @param deadlineNanos clock reading of its deadline
+     */
+    String retrySeconds(
+            CallRoute route,
+            List<EndpointRecord> candidates,
+            long targetNanos,
+            long deadlineNanos,
+            String reason) {
+        long nowNanos = clock.nanos();
+        double leftMillis = (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
+        if (stop.stopping() && reason.equals(StopAdmission.REASON)) {
+            double untilSwitchedMillis = (clientsSwitchedNanos - nowNanos) / NANOS_PER_MILLI;
+            return RetryAfter.secondsAfter(untilSwitchedMillis, leftMillis, random);
+        }
+        return RetryAfter.seconds(
+                (targetNanos - nowNanos) / NANOS_PER_MILLI,
+                leftMillis,
+                balancer.meanNanos(route) / NANOS_PER_MILLI,
+                balancer.backOffNanos(candidates, route) / NANOS_PER_MILLI,
+                random);
     }
 
     EntrySettings settings() {
--- a/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
+++ b/calls/src/main/java/dev/zinniaring/calls/ServerAdmission.java
@@ -15,6 +15,9 @@
  * @param <T> type of the calls
  */
 final class ServerAdmission<T extends AdmissibleCall> {
+    /** Order in the queue of the most urgent call of an account; above all ranks of routes. */
+    private static final int FIRST_ACCOUNT_ORDER = 1_000_000;
+
     private final Clock clock;
     private final RateLimit limit;
     private final SlotQueue<T> queue = new SlotQueue<>();
@@ -64,7 +67,7 @@
         }
         SlotQueue.CallProfile profile =
                 new SlotQueue.CallProfile(
-                        call.rankOrder(),
+                        queueOrder(call),
                         urgent && !call.ofAccount(),
                         expectedNanos(call),
                         call.targetNanos(),
@@ -75,6 +78,11 @@
         return entry == null ? new Offer<>(lackOfRoom(), null) : new Offer<>(Verdict.WAIT, entry);
     }
 
+    /** Calls of other servers go first, since a slot there is held while they wait. */
+    private int queueOrder(T call) {
+        return call.ofAccount() ? FIRST_ACCOUNT_ORDER + call.rankOrder() : call.rankOrder();
+    }
+
     /** Returns the longest wait with which a call is queued, the same for all of accounts. */
     private long maxWaitNanos(T call, long nowNanos) {
         if (!call.ofAccount()) {
