--- a/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
+++ b/calls/src/main/java/dev/zinniaring/calls/OwnerCalls.java
@@ -413,7 +413,7 @@
                 return;
             }
             observe(server.serverId(), ServerNotice.of(answer.headers(), names));
-            slowMoments.answered(answer.headers().get(names.load()));
+            slowMoments.answered(NamedLoad.read(answer.headers().get(names.load())));
             if (answer.headers().contains(names.notExecuted())) {
                 counters.increment("server_declined");
                 guarded(CrashGuard.Run::notSent);
--- a/calls/src/main/java/dev/zinniaring/calls/SlowMoments.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlowMoments.java
@@ -20,12 +20,6 @@
     /** Age at which what the server said no longer counts. */
     private static final long MAX_AGE_NANOS = 400_000_000L;
 
-    private static final double USUAL_PERCENT = 100;
-    private static final int MAX_LENGTH = 64;
-
-    /** Position of the slowdown behind the numbers of running and waiting calls and of slots. */
-    private static final int SLOWDOWN_FIELD = 3;
-
     private final Clock clock;
     private double slowdown = 1;
     private long saidNanos;
@@ -35,29 +29,11 @@
         this.saidNanos = clock.nanos();
     }
 
-    /**
-     * Records the load that the server names in an answer, null if it names none.
-     *
-     * @param load {@code running,waiting,slots,percent}, where 100 percent is the usual time; the
-     *     last figure may be left out
-     */
-    void answered(@Nullable String load) {
-        if (load == null || load.length() > MAX_LENGTH) {
-            return;
-        }
-        String[] fields = load.split(",", -1);
-        if (fields.length <= SLOWDOWN_FIELD) {
-            return;
-        }
-        try {
-            double percent = Double.parseDouble(fields[SLOWDOWN_FIELD].trim());
-            if (percent > 0 && Double.isFinite(percent)) {
-                slowdown = percent / USUAL_PERCENT;
-                saidNanos = clock.nanos();
-            }
-        } catch (NumberFormatException e) {
-            // A load that cannot be read says nothing.
-            slowdown = 1;
+    /** Records the load that the server names in an answer, null if it names none. */
+    void answered(@Nullable NamedLoad load) {
+        if (load != null && load.tellsSlowdown()) {
+            slowdown = load.slowdown();
+            saidNanos = clock.nanos();
         }
     }
 
--- a/calls/src/test/java/dev/zinniaring/calls/SlowMomentsLoadTest.java
+++ b/calls/src/test/java/dev/zinniaring/calls/SlowMomentsLoadTest.java
@@ -90,7 +90,7 @@
         if (call.endMillis() > nowMillis()) {
             return false;
         }
-        call.server().slowMoments.answered("3,0,6," + Math.round(100 * call.server().slowdown));
+        call.server().slowMoments.answered(new NamedLoad(3, 0, 6, call.server().slowdown));
         return true;
     }
 
@@ -107,7 +107,7 @@
     @ValueSource(strings = {"3,0,6", "3,0,6,", "3,0,6,x", "3,0,6,-5", "3,0,6,NaN", "", "100"})
     void aLoadWithoutASlowdownChangesNothing(String load) {
         SlowMoments moments = new SlowMoments(clock);
-        moments.answered(load);
+        moments.answered(NamedLoad.read(load));
         moments.answered(null);
         assertThat(moments.slowdown()).isEqualTo(1);
         assertThat(moments.shouldGoElsewhere(400_000_000L, 500_000_000L)).isFalse();
@@ -116,7 +116,7 @@
     @Test
     void whatAServerSaidIsForgottenSoon() {
         SlowMoments moments = new SlowMoments(clock);
-        moments.answered("3,0,6,250");
+        moments.answered(NamedLoad.read("3,0,6,250"));
         assertThat(moments.slowdown()).isEqualTo(2.5);
         clock.advance(Duration.ofMillis(500));
         assertThat(moments.slowdown()).isEqualTo(1);
