Give up the lead while no other node reaches the leader

Found by reading the diff: a leader that is cut off from the others but not from the store renewed its row for ever, so that the fleet had no leader until the cut healed. A listing of the table now also withdraws orders that were deleted meanwhile.

--- a/calls/src/main/java/dev/zinniaring/calls/AccountGate.java
+++ b/calls/src/main/java/dev/zinniaring/calls/AccountGate.java
@@ -43,7 +43,9 @@
      *
      * @param account account that makes the call, null if none is needed
      */
-    record Verdict(@Nullable Account account, @Nullable Refusal refusal) {}
+    record Verdict(@Nullable Account account, @Nullable Refusal refusal) {
+        private static final Verdict NO_ACCOUNT = new Verdict(null, null);
+    }
 
     /**
      * Refusal of a call.
@@ -75,7 +77,7 @@
      */
     Verdict check(AccountTable accounts, CallRoute route, HttpHeaders headers) {
         if (accounts.isEmpty()) {
-            return new Verdict(null, null);
+            return Verdict.NO_ACCOUNT;
         }
         List<String> keys = headers.getAll(names.accountKey());
         Account holder = keys.size() == 1 ? accounts.holder(keys.get(0)) : null;
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Coordination.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Coordination.java
@@ -70,6 +70,7 @@
     private final QuotaShares quotas;
     private final VersionShares versions;
     private final Leadership leadership;
+    private final LeaderReach reach;
     private final RolloutLog rollouts;
     private @Nullable QuotaCoordinator quotaCoordinator;
     private @Nullable RolloutBoard board;
@@ -122,6 +123,7 @@
         this.quotas = new QuotaShares(clock, random, nodes);
         this.versions = new VersionShares(clock, random, settings.decidesVersions());
         this.leadership = new Leadership(store, nodeId, ownAddress, scheduler, clock);
+        this.reach = new LeaderReach(clock);
         this.rollouts = new RolloutLog(store, documents, scheduler);
         this.heldBackLoggedNanos = clock.nanos();
     }
@@ -148,9 +150,16 @@
         return leadership.leading();
     }
 
-    /** Handles a row that stands beside the configuration, maybe an order of a roll-out. */
-    void orderChanged(RowPage.TableRow row) {
-        rollouts.orderChanged(row);
+    /**
+     * Handles rows of the configuration's table, some of which may be orders of roll-outs.
+     *
+     * @param complete whether the page lists the whole table
+     */
+    void onOrderRows(RowPage page, boolean complete) {
+        if (complete) {
+            rollouts.listed(page.rows());
+        }
+        page.rows().forEach(rollouts::orderChanged);
     }
 
     /** Returns what this node tells others about keys and the leader. */
@@ -205,7 +214,7 @@
             return;
         }
         boolean unled = failedReports > 0 || leaderAddress.isEmpty();
-        leadership.tick(candidate.getAsBoolean() && unled);
+        leadership.tick(candidate.getAsBoolean() && unled && reach.mayLead());
         followRow();
         updateLead();
         rollouts.tick();
@@ -238,11 +247,15 @@
         boolean leads = leadership.leading();
         if (leads && quotaCoordinator == null) {
             counters.increment("lead_taken");
+            reach.heard();
             quotaCoordinator =
                     new QuotaCoordinator(clock, this::accounts, nodes, settings.quotaTolerance());
             RolloutBoard newBoard = new RolloutBoard(clock, settings.exposureShare());
             board = newBoard;
             rollouts.lead(newBoard);
+        } else if (leads && reach.shouldGiveUp(nodes.getAsInt())) {
+            log.info("gives up the lead, no other node reports");
+            leadership.release();
         } else if (!leads && quotaCoordinator != null) {
             counters.increment("lead_lost");
             quotaCoordinator = null;
@@ -310,6 +323,7 @@
 
     /** Handles the report of another node. */
     void handle(Exchange exchange) {
+        reach.heard();
         try {
             ControlMessages.Decisions decisions =
                     leadership.leading()
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Leadership.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Leadership.java
@@ -158,8 +158,9 @@
     /** Gives the row up, so that another node can lead at once. */
     void release() {
         if (held) {
-            held = false;
+            lose("given up");
             store.delete(TABLE, KEY, revision);
+            readNeeded = true;
         }
     }
 
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/RolloutLog.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/RolloutLog.java
@@ -7,6 +7,7 @@
 import dev.zinniaring.store.FutureFailures;
 import dev.zinniaring.store.RowPage;
 import dev.zinniaring.store.RowStore;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -39,6 +40,27 @@
         this.scheduler = scheduler;
     }
 
+    /** Handles a listing of the whole table: orders that are not in it have been withdrawn. */
+    void listed(Collection<RowPage.TableRow> rows) {
+        for (String service : Set.copyOf(orders.keySet())) {
+            boolean ordered =
+                    rows.stream()
+                            .map(row -> documents.orderedService(row.key()))
+                            .anyMatch(service::equals);
+            if (!ordered) {
+                withdraw(service);
+            }
+        }
+    }
+
+    private void withdraw(String service) {
+        orders.remove(service);
+        RolloutBoard decided = board;
+        if (decided != null) {
+            decided.withdraw(service);
+        }
+    }
+
     /** Handles a row of the table with the orders. */
     void orderChanged(RowPage.TableRow row) {
         String service = documents.orderedService(row.key());
@@ -46,17 +68,13 @@
             return;
         }
         if (row.deleted()) {
-            orders.remove(service);
-        } else {
-            orders.put(service, row);
+            withdraw(service);
+            return;
         }
+        orders.put(service, row);
         RolloutBoard decided = board;
         if (decided != null && statesKnown) {
-            if (row.deleted()) {
-                decided.withdraw(service);
-            } else {
-                order(decided, service, row);
-            }
+            order(decided, service, row);
         }
     }
 
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/Sidecar.java
@@ -391,10 +391,9 @@
         for (RowPage.TableRow row : page.rows()) {
             if (row.key().equals(configurationSource.configurationKey()) && !row.deleted()) {
                 documents.add(ConfigurationDocument.plain(row.value(), "store", clock.nanos()));
-            } else {
-                control.orderChanged(row);
             }
         }
+        control.onOrderRows(page, complete);
         keyConfirmations.answered(configurationWatcher.asked(), documents);
     }
 
