Read the slots of a server's health check with the reader of named loads

Found by reading the diff again: ServerProbe had a reader of its own, which took the last figure of the load for the slots. Where servers name a fourth figure, how long work takes in percent, a node that was restarted took 100 or more slots until the server's next heartbeat. NamedLoad now serves both.

--- a/calls/src/main/java/dev/zinniaring/calls/NamedLoad.java
+++ b/calls/src/main/java/dev/zinniaring/calls/NamedLoad.java
@@ -10,7 +10,7 @@
  * @param slots calls that it runs at the same time
  * @param slowdown how many times as long as usual work takes there at the moment, 0 if not told
  */
-record NamedLoad(int running, int waiting, int slots, double slowdown) {
+public record NamedLoad(int running, int waiting, int slots, double slowdown) {
     private static final double USUAL_PERCENT = 100;
     private static final int MAX_LENGTH = 64;
     private static final int FIELDS = 3;
@@ -20,7 +20,7 @@
      * running,waiting,slots,percent}, where 100 percent is the usual time. Returns null if it is
      * absent or malformed.
      */
-    static @Nullable NamedLoad read(@Nullable String text) {
+    public static @Nullable NamedLoad read(@Nullable String text) {
         if (text == null || text.length() > MAX_LENGTH) {
             return null;
         }
--- a/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
+++ b/sidecar/src/main/java/dev/zinniaring/sidecar/ServerProbe.java
@@ -2,6 +2,7 @@
 
 import dev.zinniaring.calls.Answer;
 import dev.zinniaring.calls.HeaderNames;
+import dev.zinniaring.calls.NamedLoad;
 import dev.zinniaring.calls.OutboundRequest;
 import dev.zinniaring.calls.PooledHttpClient;
 import dev.zinniaring.calls.ResponseListener;
@@ -104,9 +105,7 @@
             if (answer.status() == OK && serverId != null) {
                 onIdentified.accept(
                         new IdentifiedServer(
-                                serverId,
-                                slots(answer.headers().get(names.load(), "")),
-                                ServerNotice.of(answer.headers(), names)));
+                                serverId, slots(answer), ServerNotice.of(answer.headers(), names)));
             } else {
                 log.info(
                         "health check did not identify a backend server status={}",
@@ -114,13 +113,9 @@
             }
         }
 
-        private static int slots(String load) {
-            String[] parts = load.split(",", -1);
-            try {
-                return Math.max(1, Integer.parseInt(parts[parts.length - 1].trim()));
-            } catch (NumberFormatException e) {
-                return 1;
-            }
+        private int slots(Answer answer) {
+            NamedLoad load = NamedLoad.read(answer.headers().get(names.load()));
+            return load == null ? 1 : Math.max(1, load.slots());
         }
 
         @Override
