Do not look through the queue for calls that nobody has overtaken

SlotQueue.removeExpired looked at every waiting call first, also where no call has a bounded wait; it now does so only for a call that misses its target. EntryCall computed twice whether an attempt is slow, and the stand-in store took its time past the clock. No change of behaviour; FairAdmissionLoadTest, SlotQueueTest, ServerAdmissionTest and MeshTest pass.

--- a/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
+++ b/calls/src/main/java/dev/zinniaring/calls/EntryCall.java
@@ -458,14 +458,16 @@
         }
 
         private void recordVersionOutcome(boolean failed) {
-            double slowNanos = SLOW_FACTOR * calls.balancer().meanNanos(route);
-            boolean slow = clock.nanos() - sentNanos > slowNanos;
             calls.versionShares()
-                    .ran(service, server.version(), route.route().name(), failed || slow);
+                    .ran(service, server.version(), route.route().name(), failed || slow());
+        }
+
+        private boolean slow() {
+            return clock.nanos() - sentNanos > SLOW_FACTOR * calls.balancer().meanNanos(route);
         }
 
         void cancel() {
-            if (clock.nanos() - sentNanos > SLOW_FACTOR * calls.balancer().meanNanos(route)) {
+            if (slow()) {
                 recordVersionOutcome(true);
             }
             running.remove(this);
--- a/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
+++ b/calls/src/main/java/dev/zinniaring/calls/SlotQueue.java
@@ -162,13 +162,12 @@
      * another one that waits can meet its own.
      */
     List<T> removeExpired(long nowNanos) {
-        boolean anyInTime =
-                waiting.stream().anyMatch(entry -> !missesTarget(entry.profile, nowNanos));
         List<T> removed = new ArrayList<>();
         for (Iterator<Entry<T>> entries = waiting.iterator(); entries.hasNext(); ) {
             Entry<T> entry = entries.next();
             boolean bounded = entry.profile.maxWaitNanos() != Long.MAX_VALUE;
-            boolean overtaken = bounded && anyInTime && missesTarget(entry.profile, nowNanos);
+            boolean overtaken =
+                    bounded && missesTarget(entry.profile, nowNanos) && anyInTime(nowNanos);
             if (overtaken || missesDeadline(entry, nowNanos)) {
                 entries.remove();
                 removed.add(entry.item);
@@ -177,6 +176,10 @@
         return removed;
     }
 
+    private boolean anyInTime(long nowNanos) {
+        return waiting.stream().anyMatch(entry -> !missesTarget(entry.profile, nowNanos));
+    }
+
     private static boolean missesTarget(CallProfile profile, long nowNanos) {
         return nowNanos + profile.expectedNanos() > profile.targetNanos();
     }
--- a/standins/src/main/java/dev/zinniaring/standins/RowStoreServer.java
+++ b/standins/src/main/java/dev/zinniaring/standins/RowStoreServer.java
@@ -319,7 +319,7 @@
     private ObjectNode body() {
         return MAPPER.createObjectNode()
                 .put("ver", revision)
-                .put("now_ms", System.nanoTime() / 1_000_000L);
+                .put("now_ms", Clock.system().nanos() / 1_000_000L);
     }
 
     private static ObjectNode node(Row row) {
